--- /dev/null
+++ b/adapter/codec.cpp
@@ -0,0 +1,352 @@
+#include "codec.h"
+
+#include <algorithm>
+#include <bit>
+#include <charconv>
+#include <cmath>
+#include <cstring>
+#include <optional>
+
+namespace thistlepond::wire {
+namespace {
+
+static_assert(std::endian::native == std::endian::little, "the wire is little-endian");
+
+enum class Event : std::uint8_t {
+  kPingResult = 0,
+  kJobIn = 1,
+  kMembership = 2,
+  kGone = 3,
+  kDone = 4,
+  kKill = 5,
+  kStreaming = 6,
+  kSwitchTo = 8,
+  kAttach = 10,
+  kDeadlineHit = 11,
+  kList = 12,
+};
+
+enum Action : std::uint8_t {
+  kRelay = 64,
+  kSayNo = 65,
+  kReportFailure = 66,
+  kCancel = 67,
+  kWakeMe = 68,
+  kTest = 69,
+  kRemark = 72,
+  kListen = 74,
+  kRefresh = 75,
+  kSpeaking = 77,
+};
+
+template <typename T>
+void put(unsigned char* record, std::size_t offset, T value) {
+  std::memcpy(record + offset, &value, sizeof value);
+}
+
+Bytes slice(Bytes tail, std::uint32_t offset, std::uint64_t length, const char* what) {
+  if (offset > tail.size() || length > tail.size() - offset) {
+    throw WireError(std::string(what) + ": tail offset or length out of bounds");
+  }
+  return tail.subspan(offset, length);
+}
+
+double number(std::string_view key, std::string_view value) {
+  double v = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), v);
+  if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(v)) {
+    throw WireError("settings: " + std::string(key) + " is not a number: '" + std::string(value) + "'");
+  }
+  return v;
+}
+
+Outcome outcome_of(std::uint16_t code) {
+  switch (code) {
+    case 100:
+      return Outcome::kOk;
+    case 302:
+      return Outcome::kFull;
+    case 303:
+      return Outcome::kTimedOut;
+    case 304:
+      return Outcome::kConnectFailed;
+    case 305:
+      return Outcome::kBroken;
+    case 306:
+      return Outcome::kCancelled;
+    case 307:
+      return Outcome::kNotSent;
+    default:
+      return Outcome::kError;
+  }
+}
+
+}  // namespace
+
+template <typename T>
+T read_at(Bytes bytes, std::size_t offset, const char* what) {
+  if (offset + sizeof(T) > bytes.size()) throw WireError(std::string(what) + ": cut short");
+  T value;
+  std::memcpy(&value, bytes.data() + offset, sizeof value);
+  return value;
+}
+
+Settings read_settings(std::string_view text) {
+  std::map<std::string_view, std::string_view> conf;
+  while (!text.empty()) {
+    const auto line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(line.size() + 1, text.size()));
+    const auto eq = line.find('=');
+    if (eq != std::string_view::npos) conf[line.substr(0, eq)] = line.substr(eq + 1);
+  }
+  const auto num = [&](const std::string& key, double otherwise) {
+    const auto it = conf.find(key);
+    return it == conf.end() ? otherwise : number(it->first, it->second);
+  };
+  const auto index = [&](const std::string& key, double most) {
+    const double v = num(key, 0);
+    if (v < 0 || v > most) throw WireError("settings: " + key + " is out of range");
+    return static_cast<std::uint32_t>(v);
+  };
+  const auto word = [&](const std::string& key) {
+    const auto it = conf.find(key);
+    return it == conf.end() ? std::string_view{} : it->second;
+  };
+  const auto yes = [&](const std::string& key) { return word(key) == "true"; };
+  constexpr double kMostItems = 65536;  // a class or plan is a u16 or less on the wire
+
+  Settings s;
+  s.classes.resize(index("lanes.count", kMostItems));
+  for (std::size_t i = 0; i < s.classes.size(); ++i) {
+    const std::string at = "lanes." + std::to_string(i) + ".";
+    auto& c = s.classes[i];
+    c.aim_ms = num(at + "slo_ms", c.aim_ms);
+    c.deadline_ms = num(at + "deadline_ms", c.deadline_ms);
+    c.worth = num(at + "worth", c.worth);
+    c.late_share = num(at + "late_share", c.late_share);
+    c.key_ttl_ms = num(at + "key_ttl_ms", c.key_ttl_ms);
+    const auto kind = word(at + "semantics");
+    c.repeat = kind == "safe" ? Repeat::kSafe : kind == "keyed" ? Repeat::kKeyed : Repeat::kUnsafe;
+    const auto group = word(at + "group");
+    c.group = group == "all"    ? KeyGroup::kAll
+              : group == "zone" ? KeyGroup::kZone
+              : group == "cell" ? KeyGroup::kCell
+                                : KeyGroup::kNone;
+  }
+  s.plans.resize(index("packages.count", kMostItems));
+  for (std::size_t i = 0; i < s.plans.size(); ++i) {
+    const std::string at = "packages." + std::to_string(i) + ".";
+    auto& p = s.plans[i];
+    p.quota_rate = num(at + "quota_rate", p.quota_rate);
+    p.burst = num(at + "burst", p.burst);
+    p.pays = num(at + "pays", p.pays);
+    p.overrun_cost = num(at + "overrun_cost", p.overrun_cost);
+    p.beyond_earns = num(at + "beyond_earns", p.beyond_earns);
+    p.ceiling_rate = num(at + "hard_rate", p.ceiling_rate);
+    p.ceiling_burst = num(at + "hard_burst", p.ceiling_burst);
+    p.ceiling_slack = num(at + "ceiling_slack", p.ceiling_slack);
+    p.open_limit = num(at + "concurrency", p.open_limit);
+  }
+  s.gateways = num("siblings", s.gateways);
+  s.my_zone = index("az", kMostItems);
+  s.largest_units = num("family_info.units_top", s.largest_units);
+  s.units_settle = yes("family_info.trued_up");
+  s.second_copies = yes("ceilings.second_copies");
+  s.may_cancel = yes("ceilings.cancel");
+  s.may_probe = yes("ceilings.may_probe");
+  s.retry_after = yes("ceilings.retry_after");
+  s.must_subscribe = word("discovery") == "subscribe";
+  s.sizes_known = !word("weight_kind").empty() && word("weight_kind") != "off";
+  s.max_attempts = num("ceilings.max_attempts", s.max_attempts);
+  s.max_retry_after_ms = num("ceilings.max_retry_after_ms", s.max_retry_after_ms);
+  s.tick_ms = num("granularity_ms", s.tick_ms);
+  s.cold_from = num("rules.cold_from", s.cold_from);
+  s.warm_after_ms = num("rules.warm_after_ms", s.warm_after_ms);
+  s.overload_factor = num("rules.overload_factor", s.overload_factor);
+  s.fall_ms = num("rules.fall_ms", s.fall_ms);
+  auto fields = word("load_report.fields");
+  while (!fields.empty()) {
+    const auto field = fields.substr(0, fields.find(','));
+    fields.remove_prefix(std::min(field.size() + 1, fields.size()));
+    s.report_fields.push_back(field == "depth"        ? LoadField::kQueue
+                              : field == "concurrent" ? LoadField::kInHand
+                              : field == "load_share" ? LoadField::kBusy
+                                                      : LoadField::kOther);
+  }
+  return s;
+}
+
+std::vector<HostEntry> read_entries(Bytes bytes) {
+  std::vector<HostEntry> entries(bytes.size() / kEntrySize);
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    const Bytes at = bytes.subspan(i * kEntrySize, kEntrySize);
+    auto& e = entries[i];
+    e.started_at = read_at<double>(at, 0, "entry");
+    e.id = read_at<std::uint32_t>(at, 8, "entry");
+    e.kind = read_at<std::uint16_t>(at, 12, "entry");
+    e.zone = read_at<std::uint16_t>(at, 14, "entry");
+    const auto state = read_at<std::uint8_t>(at, 16, "entry");
+    e.state = state == 1 ? HostState::kReady : state == 2 ? HostState::kDraining : HostState::kGone;
+    e.size = read_at<float>(at, 17, "entry");
+    e.cell = read_at<std::uint16_t>(at, 21, "entry");
+  }
+  return entries;
+}
+
+unsigned char* Reply::add(std::uint32_t instance, std::uint8_t code) {
+  const bool turn = speaking_ != instance;
+  speaking_ = instance;
+  const std::size_t at = records_.size();
+  records_.resize(at + kActionSize * (turn ? 2 : 1), '\0');
+  auto* record = reinterpret_cast<unsigned char*>(records_.data()) + at;
+  if (turn) {
+    record[0] = kSpeaking;
+    put(record, 1, instance);
+    record += kActionSize;
+  }
+  record[0] = code;
+  count_ += turn ? 2 : 1;
+  return record;
+}
+
+void Reply::Sink::send(RequestId request, HostId host, Ms give_up_after) {
+  auto* r = reply_.add(instance_, kRelay);
+  put(r, 1, request);
+  put(r, 9, host);
+  put(r, 13, give_up_after);
+}
+void Reply::Sink::cancel(RequestId request, std::uint32_t attempt) {
+  auto* r = reply_.add(instance_, kCancel);
+  put(r, 1, request);
+  put(r, 9, static_cast<std::uint8_t>(attempt));
+}
+void Reply::Sink::refuse(RequestId request, Ms retry_after) {
+  auto* r = reply_.add(instance_, kSayNo);
+  put(r, 1, request);
+  put(r, 9, retry_after);
+}
+void Reply::Sink::fail(RequestId request) { put(reply_.add(instance_, kReportFailure), 1, request); }
+void Reply::Sink::wake(Ms after, std::uint64_t token) {
+  auto* r = reply_.add(instance_, kWakeMe);
+  put(r, 1, after);
+  put(r, 9, token);
+}
+void Reply::Sink::probe(HostId host) { put(reply_.add(instance_, kTest), 1, host); }
+void Reply::Sink::follow_list() { reply_.add(instance_, kListen)[1] = 1; }
+void Reply::Sink::fetch_list() { reply_.add(instance_, kRefresh); }
+void Reply::Sink::note(std::string_view text) {
+  auto* r = reply_.add(instance_, kRemark);
+  put(r, 1, static_cast<std::uint32_t>(reply_.tail_.size()));
+  put(r, 5, static_cast<std::uint32_t>(text.size()));
+  reply_.tail_ += text;
+}
+
+std::string Reply::finish() {
+  std::string frame(kReplyHeader, '\0');
+  const auto size = static_cast<std::uint32_t>(kReplyHeader + records_.size() + tail_.size());
+  auto* header = reinterpret_cast<unsigned char*>(frame.data());
+  put(header, 0, size);
+  put(header, 4, count_);
+  return frame + records_ + tail_;
+}
+
+std::string Gateways::play(Bytes frame) {
+  const auto size = read_at<std::uint32_t>(frame, 0, "batch header");
+  const auto count = read_at<std::uint32_t>(frame, 4, "batch header");
+  const auto now = read_at<double>(frame, 8, "batch header");
+  if (size != frame.size()) throw WireError("batch header: wrong length");
+  if (count > (frame.size() - kBatchHeader) / kEventSize) throw WireError("batch: more records than bytes");
+  const Bytes records = frame.subspan(kBatchHeader, count * kEventSize);
+  const Bytes tail = frame.subspan(kBatchHeader + count * kEventSize);
+
+  Reply reply;
+  std::uint32_t instance = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const Bytes r = records.subspan(i * kEventSize, kEventSize);
+    const auto code = static_cast<Event>(r[0]);
+    const auto u8 = [&](std::size_t at) { return r[at]; };
+    const auto u16 = [&](std::size_t at) { return read_at<std::uint16_t>(r, at, "record"); };
+    const auto u32 = [&](std::size_t at) { return read_at<std::uint32_t>(r, at, "record"); };
+    const auto u64 = [&](std::size_t at) { return read_at<std::uint64_t>(r, at, "record"); };
+    const auto f32 = [&](std::size_t at) { return static_cast<double>(read_at<float>(r, at, "record")); };
+    const auto f64 = [&](std::size_t at) { return read_at<double>(r, at, "record"); };
+
+    if (code == Event::kSwitchTo) {
+      instance = u32(1);
+      continue;
+    }
+    if (code == Event::kList) {
+      const auto entries = u32(7);
+      sheets_[u16(1)] = read_entries(slice(tail, u32(3), std::uint64_t{entries} * kEntrySize, "list"));
+      continue;
+    }
+    Reply::Sink out(reply, instance);
+    if (code == Event::kAttach) {
+      const Bytes conf = slice(tail, u32(9), u32(13), "settings");
+      const auto settings = read_settings({reinterpret_cast<const char*>(conf.data()), conf.size()});
+      instances_.erase(instance);
+      fields_[instance] = settings.report_fields;
+      instances_.emplace(instance, Control(settings, u64(1))).first->second.start(now, out);
+      continue;
+    }
+    const auto it = instances_.find(instance);
+    if (it == instances_.end()) continue;
+    Control& control = it->second;
+    const auto report = [&](std::size_t at) {
+      LoadReport load;
+      const auto& fields = fields_[instance];
+      const std::size_t n = std::min<std::size_t>({std::size_t{u8(at)}, fields.size(), 4});
+      for (std::size_t k = 0; k < n; ++k) {
+        const double v = f32(at + 1 + 4 * k);
+        if (fields[k] == LoadField::kQueue) load.queue = v;
+        if (fields[k] == LoadField::kInHand) load.in_hand = v;
+        if (fields[k] == LoadField::kBusy) load.busy = v;
+      }
+      return load;
+    };
+    switch (code) {
+      case Event::kMembership: {
+        const auto form = u8(1);
+        const auto kind = form == 0   ? ListKind::kCached
+                          : form == 2 ? ListKind::kChanges
+                          : form == 3 ? ListKind::kWhole
+                                      : ListKind::kFailed;
+        static const std::vector<HostEntry> kNone;
+        const auto sheet = sheets_.find(u16(10));
+        if (kind != ListKind::kFailed && sheet == sheets_.end()) throw WireError("membership: unknown list");
+        control.on_list(now, kind, kind == ListKind::kFailed ? kNone : sheet->second, out);
+        break;
+      }
+      case Event::kJobIn:
+        control.on_request(
+            now, {u64(1), u16(9), u32(11), u64(15), f64(23), f32(31), f32(35), (u8(43) & 2) != 0}, out);
+        break;
+      case Event::kPingResult:
+        control.on_probe_end(now, u32(1), f64(5), u16(13) == 100, report(15), out);
+        break;
+      case Event::kDeadlineHit:
+        control.on_timer(now, u64(1), out);
+        break;
+      case Event::kGone:
+        control.on_gone(now, u64(1), out);
+        break;
+      case Event::kStreaming:
+        control.on_stream_begun(now, u64(1), u8(21), out);
+        break;
+      case Event::kDone: {
+        AttemptEnd end{u64(1), u8(9), u32(10), outcome_of(u16(14)), f64(16), u8(24) != 0, {}, report(29)};
+        if (u16(27) != 0) end.true_units = u16(27);
+        control.on_attempt_end(now, end, out);
+        break;
+      }
+      case Event::kKill:
+        instances_.erase(it);
+        break;
+      default:
+        break;  // unknown events are skipped
+    }
+  }
+  return reply.finish();
+}
+
+}  // namespace thistlepond::wire
--- /dev/null
+++ b/adapter/codec.h
@@ -0,0 +1,77 @@
+// The simulator's wire: frames, records and tails to the module's words and back. Translates only.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "thistlepond/control.h"
+
+namespace thistlepond::wire {
+
+struct WireError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+using Bytes = std::span<const unsigned char>;
+
+template <typename T>
+T read_at(Bytes bytes, std::size_t offset, const char* what);
+
+inline constexpr std::size_t kBatchHeader = 16;
+inline constexpr std::size_t kReplyHeader = 8;
+inline constexpr std::size_t kEventSize = 48;
+inline constexpr std::size_t kActionSize = 24;
+inline constexpr std::size_t kEntrySize = 23;
+
+Settings read_settings(std::string_view text);
+std::vector<HostEntry> read_entries(Bytes bytes);
+
+// Collects the actions of all instances into one reply.
+class Reply {
+ public:
+  class Sink : public Actions {
+   public:
+    Sink(Reply& reply, std::uint32_t instance) : reply_(reply), instance_(instance) {}
+    void send(RequestId request, HostId host, Ms give_up_after) override;
+    void cancel(RequestId request, std::uint32_t attempt) override;
+    void refuse(RequestId request, Ms retry_after) override;
+    void fail(RequestId request) override;
+    void wake(Ms after, std::uint64_t token) override;
+    void probe(HostId host) override;
+    void follow_list() override;
+    void fetch_list() override;
+    void note(std::string_view text) override;
+
+   private:
+    Reply& reply_;
+    std::uint32_t instance_;
+  };
+
+  std::string finish();
+
+ private:
+  unsigned char* add(std::uint32_t instance, std::uint8_t code);
+
+  std::string records_;
+  std::string tail_;
+  std::uint32_t count_ = 0;
+  std::int64_t speaking_ = -1;
+};
+
+// Plays batches to the instances that live in this process. They share nothing.
+class Gateways {
+ public:
+  std::string play(Bytes frame);
+
+ private:
+  std::map<std::uint32_t, Control> instances_;
+  std::map<std::uint32_t, std::vector<LoadField>> fields_;
+  std::map<std::uint16_t, std::vector<HostEntry>> sheets_;
+};
+
+}  // namespace thistlepond::wire
--- /dev/null
+++ b/include/thistlepond/control.h
@@ -0,0 +1,160 @@
+// The interface of thistlepond's decision module: settings, events, actions.
+// The module does no I/O and reads no clock: time comes in with each event, randomness from a seed.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace thistlepond {
+
+using Ms = double;  // milliseconds; no particular origin
+using RequestId = std::uint64_t;
+using HostId = std::uint32_t;
+using CustomerId = std::uint64_t;
+
+enum class Repeat : std::uint8_t { kSafe, kKeyed, kUnsafe };
+enum class KeyGroup : std::uint8_t { kNone, kAll, kZone, kCell };
+
+struct ClassSettings {
+  Ms aim_ms = 0;       // an answer within this time earns its worth; 0: the deadline
+  Ms deadline_ms = 0;  // what a client waits in all
+  double worth = 1;
+  double late_share = 0;  // part of the worth earned between aim and deadline
+  Repeat repeat = Repeat::kUnsafe;
+  KeyGroup group = KeyGroup::kNone;
+  Ms key_ttl_ms = 0;
+};
+
+struct PlanSettings {
+  double quota_rate = 0;  // units a second for a customer, over all gateways; 0: no rate
+  double burst = 0;
+  double pays = 1;
+  double overrun_cost = 0;
+  double beyond_earns = 0;
+  double ceiling_rate = 0;  // 0: the plan has no ceiling
+  double ceiling_burst = 0;
+  double ceiling_slack = 0;
+  double open_limit = 0;  // attempts out at once; 0: no limit
+};
+
+enum class LoadField : std::uint8_t { kQueue, kInHand, kBusy, kOther };
+
+struct Settings {
+  std::vector<ClassSettings> classes;
+  std::vector<PlanSettings> plans;
+  double gateways = 1;
+  std::uint32_t my_zone = 0;
+  double largest_units = 1;
+  bool units_settle = false;
+  bool second_copies = false;
+  bool may_cancel = false;
+  bool may_probe = false;
+  bool retry_after = false;
+  bool must_subscribe = false;
+  bool sizes_known = false;  // `HostEntry::size` compares hosts
+  double max_attempts = 1;
+  Ms max_retry_after_ms = 0;
+  Ms tick_ms = 0;  // shortest gap between events
+  double cold_from = 0;
+  Ms warm_after_ms = 0;
+  double overload_factor = 1;
+  Ms fall_ms = 0;
+  std::vector<LoadField> report_fields;
+};
+
+enum class HostState : std::uint8_t { kReady, kDraining, kGone };
+
+struct HostEntry {
+  HostId id = 0;
+  HostState state = HostState::kReady;
+  Ms started_at = 0;  // 0: long ago
+  std::uint32_t kind = 0;
+  std::uint32_t zone = 0;
+  std::uint32_t cell = 0;
+  double size = 1;
+};
+
+enum class ListKind : std::uint8_t { kCached, kChanges, kWhole, kFailed };
+
+struct Request {
+  RequestId id = 0;
+  std::uint32_t class_index = 0;
+  std::uint32_t plan_index = 0;
+  CustomerId customer = 0;
+  Ms expires_at = 0;
+  double units = 1;
+  double spread = 1;    // gateways that this customer's requests come through
+  bool repeat = false;  // a client's repeat, where clients mark it
+};
+
+enum class Outcome : std::uint8_t {
+  kOk,
+  kError,
+  kFull,
+  kTimedOut,
+  kConnectFailed,
+  kBroken,
+  kCancelled,
+  kNotSent
+};
+
+struct LoadReport {
+  std::optional<double> queue;    // requests waiting
+  std::optional<double> in_hand;  // requests held
+  std::optional<double> busy;     // part of the cores in use
+};
+
+struct AttemptEnd {
+  RequestId request = 0;
+  std::uint32_t attempt = 0;
+  HostId host = 0;
+  Outcome outcome = Outcome::kError;
+  Ms took_ms = 0;
+  bool finished = false;  // nothing more is owed for the request
+  std::optional<double> true_units;
+  LoadReport load;
+};
+
+// What the module wants done. Actions are carried out in the order of the calls.
+class Actions {
+ public:
+  virtual ~Actions() = default;
+  virtual void send(RequestId request, HostId host, Ms give_up_after) = 0;
+  virtual void cancel(RequestId request, std::uint32_t attempt) = 0;
+  virtual void refuse(RequestId request, Ms retry_after) = 0;
+  virtual void fail(RequestId request) = 0;
+  virtual void wake(Ms after, std::uint64_t token) = 0;
+  virtual void probe(HostId host) = 0;
+  virtual void follow_list() = 0;
+  virtual void fetch_list() = 0;
+  virtual void note(std::string_view text) = 0;
+};
+
+// One gateway's decisions. Events go in, in order of time; actions come out through the sink.
+class Control {
+ public:
+  Control(const Settings& settings, std::uint64_t seed);
+  ~Control();
+  Control(Control&&) noexcept;
+  Control& operator=(Control&&) noexcept;
+
+  void start(Ms now, Actions& out);
+  void on_list(Ms now, ListKind kind, std::span<const HostEntry> entries, Actions& out);
+  void on_request(Ms now, const Request& request, Actions& out);
+  void on_stream_begun(Ms now, RequestId request, std::uint32_t attempt, Actions& out);
+  void on_attempt_end(Ms now, const AttemptEnd& end, Actions& out);
+  void on_gone(Ms now, RequestId request, Actions& out);
+  void on_timer(Ms now, std::uint64_t token, Actions& out);
+  void on_probe_end(Ms now, HostId host, Ms took_ms, bool ok, const LoadReport& load, Actions& out);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace thistlepond
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,271 @@
+// What only hundreds of gateways break: each counts next to nothing alone, and only the sum must hold.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "support.h"
+
+namespace thistlepond::testing {
+namespace {
+
+Settings large(double gateways = 400) {
+  auto s = plain_settings();
+  s.gateways = gateways;
+  s.plans[0].quota_rate = 1e6;
+  s.plans[0].burst = 1e6;
+  return s;
+}
+
+std::vector<HostEntry> fleet(HostId n, HostId cold = 0, Ms started = 0) {
+  std::vector<HostEntry> hosts;
+  for (HostId h = 1; h <= n; ++h) hosts.push_back(host(h, HostState::kReady, h <= cold ? started : 0));
+  return hosts;
+}
+
+class ColdSum : public ::testing::TestWithParam<int> {};
+
+// Granite's big-1 at full size: one send each from hundreds of gateways pushed cold hosts over. 40% of the
+// fleet is back cold and all gateways have just restarted: the sum over them keeps the present ability.
+TEST_P(ColdSum, StaysBelowWhatColdHostsBear) {
+  const int gateways = GetParam();
+  const auto s = large(gateways);
+  const int each = 1200 / gateways;
+  std::map<HostId, int> sends;
+  for (int i = 0; i < gateways; ++i) {
+    Gateway g(s, fleet(40, 16, 1e6 - 500), 1e6, 100 + static_cast<std::uint64_t>(i));
+    for (RequestId id = 1; id <= static_cast<RequestId>(each); ++id) {
+      g.now += 1000.0 / each;
+      if (g.ask(id, 1, 2, id)) ++sends[g.out.of(Act::kSend, id)->host];
+      g.answer_all();
+    }
+  }
+  int cold = 0;
+  for (HostId h = 1; h <= 16; ++h) {
+    EXPECT_LE(sends[h], 2 * 0.28 * 30 + 3) << "twice the present ability of a host that carries 30 a second";
+    cold += sends[h];
+  }
+  EXPECT_GE(cold, 1) << "cold hosts must get work, or they stay cold where work warms them";
+  EXPECT_LE(cold, 16 * 30 * 0.4);
+}
+INSTANTIATE_TEST_SUITE_P(Gateways, ColdSum, ::testing::Values(3, 400));
+
+// At three requests a second a single attempt out looked like overload, and half of all was refused.
+TEST(Scale, AHealthyFleetIsNotTakenForAPressedOne) {
+  int refused = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Gateway g(large(), fleet(100), 0, seed);
+    for (RequestId id = 1; id <= 60; ++id) {
+      g.wait(300);
+      refused += !g.ask(id, 1, 2, id);
+      g.now += 100;  // served in 100 ms of an aim of 1 s
+      g.answer_all(100);
+    }
+  }
+  EXPECT_LE(refused, 20 * 60 / 20);
+}
+
+// Jobs' big-1: a slice of a fiftieth of a request. The first passes, and a customer that keeps coming through
+// one gateway of two hundred asks for far more than its quota on the whole.
+TEST(Scale, ASliceFarBelowOneRequestGoesByTheWorthExpected) {
+  auto s = large();
+  s.plans[0].quota_rate = 4;
+  s.plans[0].burst = 8;
+  s.plans[0].overrun_cost = 0.8;
+  Gateway g(s, fleet(50));
+  g.wait(20000);
+  int first = 0, later = 0;
+  for (RequestId id = 1; id <= 50; ++id) {
+    first += g.ask(id, 1, 200, id);
+    g.answer_all();
+    g.wait(300);
+  }
+  EXPECT_GE(first, 45);
+  for (RequestId id = 100; id < 120; ++id) {
+    later += g.ask(id, 1, 200, 7777);
+    g.answer_all();
+    g.wait(300);
+  }
+  EXPECT_LE(later, 3);
+  EXPECT_GE(later, 1);
+}
+
+// A repeat was refused elsewhere: with one request seen before, a new request goes on and a repeat does not.
+TEST(Scale, AMarkedRepeatTellsOfRefusalsElsewhere) {
+  auto s = large();
+  s.plans[0].quota_rate = 4;
+  s.plans[0].burst = 8;
+  s.plans[0].overrun_cost = 1;
+  for (const bool repeat : {false, true}) {
+    Gateway g(s, fleet(50));
+    g.wait(5000);  // a slice of a fifth a second: one request was to be expected
+    ASSERT_TRUE(g.ask(1, 1, 20, 7));
+    g.answer_all();
+    g.now += 10;
+    g.control.on_request(g.now, {2, 0, 0, 7, g.now + 4000, 1, 20, repeat}, g.out);
+    EXPECT_EQ(g.out.of(Act::kSend, 2) == nullptr, repeat);
+  }
+}
+
+// Kochi's quiet day: a ceiling's slice of two requests always looked near, and the dry were refused.
+TEST(Scale, ACeilingSliceOfTwoRequestsIsNotAlwaysNear) {
+  auto s = large();
+  s.plans[0].quota_rate = 10;
+  s.plans[0].burst = 20;
+  s.plans[0].overrun_cost = 0.5;
+  s.plans[0].ceiling_rate = 40;
+  s.plans[0].ceiling_burst = 40;
+  Gateway g(s, fleet(50), 0);
+  g.wait(30000);  // ceilings start empty
+  int sent = 0;
+  for (RequestId id = 1; id <= 10; ++id) {  // two at once from each of ten customers, a slice of half a unit
+    sent += g.ask(2 * id, 1, 20, id);
+    sent += g.ask(2 * id + 1, 1, 20, id);
+    g.answer_all();
+    g.wait(1000);
+  }
+  EXPECT_GE(sent, 18);
+}
+
+// Kochi's throttled days: hosts with room turn one plan away as full.
+TEST(Throttle, OnlyThePlanTurnedAwayAvoidsTheHostAndItsRetriesAreNotRationed) {
+  auto s = large(2);
+  s.plans.push_back(s.plans[0]);
+  Gateway g(s, fleet(4));
+  std::map<HostId, int> throttled, other;
+  int unserved = 0;
+  for (RequestId id = 1; id <= 400; ++id) {
+    const auto plan = static_cast<std::uint32_t>(id % 2);
+    g.control.on_request(g.now, {id, 0, plan, id, g.now + 4000, 1, 2}, g.out);
+    for (std::uint32_t attempt = 0; attempt < 4; ++attempt) {
+      const auto* a = g.out.of(Act::kSend, id);
+      if (a == nullptr) {
+        ++unserved;
+        break;
+      }
+      const HostId h = a->host;
+      g.out.take();
+      ++(plan == 0 ? throttled : other)[h];
+      const bool full = plan == 0 && h <= 2;
+      g.end(id, attempt, h, full ? Outcome::kFull : Outcome::kOk, 50);
+      if (!full) break;
+    }
+    g.out.take();
+    g.now += 20;
+    if (id % 5 == 0) g.tick();
+  }
+  EXPECT_LE(unserved, 8);
+  EXPECT_LE(throttled[1] + throttled[2], 100) << "of 200: half is the even part";
+  EXPECT_GE(other[1] + other[2], 70) << "the other plan still goes there";
+}
+
+TEST(Throttle, WhatNeverRanIsTriedElsewhereOutsideTheBudget) {
+  for (const auto outcome : {Outcome::kFull, Outcome::kConnectFailed}) {
+    auto s = large(2);
+    s.plans.push_back(s.plans[0]);
+    Gateway g(s, fleet(60));
+    int again = 0;
+    for (RequestId id = 1; id <= 60; ++id) {  // every other request meets a host that does not take it
+      const auto plan = static_cast<std::uint32_t>(id % 2);
+      g.control.on_request(g.now, {id, 0, plan, id, g.now + 4000, 1, 2}, g.out);
+      const auto* first = g.out.of(Act::kSend, id);
+      ASSERT_NE(first, nullptr);
+      const HostId h = first->host;
+      g.out.take();
+      g.end(id, 0, h, plan == 0 ? outcome : Outcome::kOk, 50);
+      if (const auto* second = g.out.of(Act::kSend, id)) {
+        ++again;
+        const HostId other = second->host;
+        EXPECT_NE(other, h);
+        g.out.take();
+        g.end(id, 1, other, Outcome::kOk, 50);
+      }
+      g.out.take();
+      g.now += 20;
+    }
+    EXPECT_EQ(again, 30) << "the budget alone has 5 and a tenth of 60";
+  }
+}
+
+Settings probing() {
+  auto s = large();
+  s.may_probe = true;
+  return s;
+}
+
+TEST(Probes, AreRationedBySends) {
+  Gateway g(probing(), fleet(30));
+  int probes = 0;
+  for (RequestId id = 1; id <= 200; ++id) {
+    g.wait(300);
+    g.ask(id, 1, 2, id);
+    probes += static_cast<int>(g.out.count(Act::kProbe));
+    g.answer_all();
+  }
+  EXPECT_GE(probes, 70);
+  EXPECT_LE(probes, 130);
+}
+
+// No report while busy, a failed probe and a long queue all mean: rather not there.
+TEST(Probes, AMissingReportIsNoIdleHost) {
+  for (const int silent : {0, 1, 2}) {
+    Gateway g(probing(), fleet(6));
+    std::map<HostId, int> sends;
+    for (RequestId id = 1; id <= 300; ++id) {
+      g.wait(300);
+      for (HostId h = 1; h <= 6; ++h) {
+        LoadReport load{0, {}, 0.3};
+        if (h == 1) load = silent == 0 ? LoadReport{} : LoadReport{9, {}, 1.0};
+        g.control.on_probe_end(g.now, h, 1, !(h == 1 && silent == 1), load, g.out);
+      }
+      if (g.ask(id, 1, 2, id)) ++sends[g.out.of(Act::kSend, id)->host];
+      g.answer_all();
+    }
+    EXPECT_LE(sends[1], 15) << silent;
+    EXPECT_GE(sends[2] + sends[3] + sends[4] + sends[5] + sends[6], 250) << silent;
+  }
+}
+
+// i745d0f, i620946, ib62993: a sum over hosts of the larger of a least and a noisy rate was twice the truth, and
+// hosts were overdriven: nearly half of the aim in queues (not yet the mean latency that sheds by itself).
+TEST(Scale, QueuesAtRarelyHeardHostsAreSeenAsLoad) {
+  int asked = 0, sent = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Gateway g(large(), fleet(100), 0, seed);
+    std::vector<std::pair<Ms, Act>> answers;
+    for (RequestId id = 1; id <= 150; ++id) {
+      const bool on = g.ask(id, 1, 2, id);
+      if (id > 50) ++asked, sent += on;
+      for (const auto& a : g.out.take()) {
+        if (a.kind == Act::kSend) answers.emplace_back(g.now + 450, a);
+      }
+      for (int i = 0; i < 10; ++i) {
+        g.now += 20;
+        while (!answers.empty() && answers.front().first <= g.now) {
+          g.end(answers.front().second.id, 0, answers.front().second.host, Outcome::kOk, 450);
+          answers.erase(answers.begin());
+        }
+        if (i % 5 == 4) g.tick();
+      }
+    }
+  }
+  EXPECT_LE(sent, asked / 2) << "the sum of maxima sends 64 of 100";
+  EXPECT_GE(sent, asked / 4);
+}
+
+// A shared slowdown: the mean latency sheds before everything is late, whatever one gateway has out.
+TEST(Scale, AWholeFleetThatIsSlowIsPressure) {
+  Gateway g(large(), fleet(100));
+  int sent = 0;
+  for (RequestId id = 1; id <= 200; ++id) {
+    g.wait(300);
+    const bool on = g.ask(id, 1, 2, id);
+    if (id > 100) sent += on;
+    g.now += 5;
+    g.answer_all(950);  // of an aim of 1 s
+  }
+  EXPECT_LE(sent, 60) << "of 100";
+  EXPECT_GE(sent, 1) << "some go on, or the signals would stop";
+}
+
+}  // namespace
+}  // namespace thistlepond::testing
--- /dev/null
+++ b/tests/support.h
@@ -0,0 +1,120 @@
+// A sink that remembers actions, and settings to start from.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "thistlepond/control.h"
+
+namespace thistlepond::testing {
+
+struct Act {
+  enum Kind { kSend, kCancel, kRefuse, kFail, kWake, kProbe, kFollow, kFetch, kNote } kind;
+  std::uint64_t id = 0;  // request or token
+  HostId host = 0;
+  double value = 0;  // time, or the attempt's number
+};
+
+class Recorder : public Actions {
+ public:
+  std::vector<Act> acts;
+
+  void send(RequestId r, HostId h, Ms t) override { acts.push_back({Act::kSend, r, h, t}); }
+  void cancel(RequestId r, std::uint32_t a) override { acts.push_back({Act::kCancel, r, 0, double(a)}); }
+  void refuse(RequestId r, Ms t) override { acts.push_back({Act::kRefuse, r, 0, t}); }
+  void fail(RequestId r) override { acts.push_back({Act::kFail, r, 0, 0}); }
+  void wake(Ms t, std::uint64_t token) override { acts.push_back({Act::kWake, token, 0, t}); }
+  void probe(HostId h) override { acts.push_back({Act::kProbe, 0, h, 0}); }
+  void follow_list() override { acts.push_back({Act::kFollow, 0, 0, 0}); }
+  void fetch_list() override { acts.push_back({Act::kFetch, 0, 0, 0}); }
+  void note(std::string_view) override { acts.push_back({Act::kNote, 0, 0, 0}); }
+
+  std::size_t count(Act::Kind kind) const {
+    return static_cast<std::size_t>(
+        std::count_if(acts.begin(), acts.end(), [&](const Act& a) { return a.kind == kind; }));
+  }
+  const Act* of(Act::Kind kind, std::uint64_t id) const {
+    for (const auto& a : acts) {
+      if (a.kind == kind && a.id == id) return &a;
+    }
+    return nullptr;
+  }
+  std::vector<Act> take() { return std::exchange(acts, {}); }
+};
+
+inline Settings plain_settings(std::size_t classes = 1) {
+  Settings s;
+  s.classes.resize(classes);
+  for (auto& c : s.classes) c = {1000, 4000, 1, 0, Repeat::kSafe, KeyGroup::kNone, 0};
+  s.plans.resize(1);
+  s.plans[0].quota_rate = 4;
+  s.plans[0].burst = 8;
+  s.plans[0].overrun_cost = 1;
+  s.gateways = 2;
+  s.second_copies = true;
+  s.may_cancel = true;
+  s.retry_after = true;
+  s.max_attempts = 4;
+  s.max_retry_after_ms = 100000;
+  s.tick_ms = 4;
+  s.cold_from = 0.2;
+  s.warm_after_ms = 10000;
+  s.overload_factor = 2;
+  s.fall_ms = 1000;
+  return s;
+}
+
+inline HostEntry host(HostId id, HostState state = HostState::kReady, Ms started = 0,
+                      std::uint32_t zone = 0) {
+  return {id, state, started, 0, zone, zone * 10, 1};
+}
+
+// One gateway with its sink and a running clock.
+struct Gateway {
+  Settings settings;
+  Control control;
+  Recorder out;
+  Ms now = 0;
+
+  explicit Gateway(const Settings& s, std::vector<HostEntry> hosts = {host(1), host(2), host(3)},
+                   Ms start = 0, std::uint64_t seed = 7)
+      : settings(s), control(s, seed), now(start) {
+    control.start(now, out);
+    control.on_list(now, ListKind::kCached, hosts, out);
+    out.take();
+  }
+  void list(ListKind kind, std::vector<HostEntry> hosts) { control.on_list(now, kind, hosts, out); }
+  // Hands in a request; true if it was sent on.
+  bool ask(RequestId id, double units = 1, double spread = 2, CustomerId customer = 1, std::uint32_t cls = 0,
+           Ms lasts = 4000) {
+    control.on_request(now, {id, cls, 0, customer, now + lasts, units, spread}, out);
+    return out.of(Act::kSend, id) != nullptr;
+  }
+  void end(RequestId id, std::uint32_t attempt, HostId h, Outcome outcome, Ms took = 50,
+           bool finished = false, std::optional<double> units = {}) {
+    control.on_attempt_end(
+        now, {id, attempt, h, outcome, took, finished || outcome == Outcome::kOk, units, {}}, out);
+  }
+  void answer_all(Ms took = 50) {
+    for (const auto& a : out.take()) {
+      if (a.kind == Act::kSend) end(a.id, 0, a.host, Outcome::kOk, took);
+    }
+  }
+  void tick() { control.on_timer(now, ~std::uint64_t{0}, out); }
+  void wait(Ms span) {  // ticks of 100 ms, as asked for by the module
+    for (Ms left = span; left > 0; left -= 100) {
+      now += std::min(left, 100.0);
+      tick();
+    }
+  }
+  RequestId fill(RequestId id, int n) {  // n sends of customers of their own, answered at once
+    for (int i = 0; i < n; ++i, ++id) {
+      ask(id, 1, 2, 1'000'000 + id);
+      answer_all();
+    }
+    return id;
+  }
+};
+
+}  // namespace thistlepond::testing
