--- a/adapter/codec.h
+++ b/adapter/codec.h
@@ -4,19 +4,15 @@
 #include <cstdint>
 #include <map>
 #include <span>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "settings.h"
 #include "thistlepond/control.h"
 
 namespace thistlepond::wire {
 
-struct WireError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 using Bytes = std::span<const unsigned char>;
 
 template <typename T>
@@ -28,7 +24,6 @@
 inline constexpr std::size_t kActionSize = 24;
 inline constexpr std::size_t kEntrySize = 23;
 
-Settings read_settings(std::string_view text);
 std::vector<HostEntry> read_entries(Bytes bytes);
 
 // Collects the actions of all instances into one reply.
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,327 @@
+#include "clients.h"
+
+#include <chrono>
+#include <deque>
+#include <utility>
+
+#include "log.h"
+
+namespace thistlepond::net {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kMostPending = 64;                    // commands of one connection not yet answered
+constexpr std::size_t kMostUnsent = 256 * 1024;             // answers of one connection not yet taken
+constexpr std::size_t kMostUnsentInAll = 24 * 1024 * 1024;  // of all: part of the memory limit
+constexpr Ms kStalled = 10'000;  // a client that takes in nothing for so long, or leaves a command half sent
+constexpr Ms kLinger = 500;      // after the last answer, for the client to read it before a reset could
+constexpr auto kSweep = std::chrono::milliseconds(250);
+constexpr auto kAcceptAgain = std::chrono::milliseconds(5);
+
+}  // namespace
+
+class Clients::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Clients& owner, std::uint64_t id, tcp::socket socket)
+      : owner_(owner), id_(id), socket_(std::move(socket)), reader_(resp::Limits{}, true) {
+    moved_ = owner_.clock_.now();
+  }
+
+  void start() { read(); }
+
+  void answer(std::uint64_t place, std::string_view reply) {
+    if (closed_ || place < first_ || place - first_ >= slots_.size()) return;
+    Slot& slot = slots_[place - first_];
+    if (slot.done) return;
+    slot.done = true;
+    slot.name = 0;
+    if (place == first_) {
+      append(reply);
+      slots_.pop_front(), ++first_;
+      while (!slots_.empty() && slots_.front().done) {
+        owner_.unsent_ -= slots_.front().counted;
+        append(slots_.front().reply);
+        slots_.pop_front(), ++first_;
+      }
+      if (!parsing_) write();
+    } else {
+      slot.reply = reply;
+      owner_.unsent_ += slot.reply.size();
+      slot.counted = slot.reply.size();
+    }
+  }
+
+  bool idle() const { return slots_.empty() && out_.empty() && reader_.empty() && !lingering_; }
+  Ms moved() const { return moved_; }
+
+  void wind_down() {
+    if (idle()) {
+      close();
+    } else {
+      last_ = true;
+    }
+  }
+
+  void sweep(Ms now) {
+    const bool half_read = !reader_.empty() && !held_back_ && slots_.empty();
+    const bool unread = !out_.empty();
+    if (lingering_ ? now - moved_ > kLinger : (half_read || unread) && now - moved_ > kStalled)
+      return close();
+    if (held_back_) go_on();
+  }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    owner_.unsent_ -= out_.size();
+    for (const auto& slot : slots_) owner_.unsent_ -= slot.counted;
+    const auto self = shared_from_this();
+    owner_.connections_.erase(id_);
+    for (auto& slot : std::exchange(slots_, {})) {
+      if (slot.name != 0) owner_.events_.on_client_gone(slot.name);
+    }
+  }
+
+ private:
+  struct Slot {
+    std::uint64_t name = 0;
+    bool done = false;
+    std::size_t counted = 0;
+    std::string reply;
+  };
+
+  void append(std::string_view reply) {
+    if (out_.empty()) moved_ = owner_.clock_.now();
+    out_ += reply;
+    owner_.unsent_ += reply.size();
+  }
+
+  // Danger: a client that sends and never reads, or many of them, could have answers pile up until the
+  // program is killed for memory. So no more commands are taken in from one that has much unread.
+  bool must_hold_back() const {
+    return slots_.size() >= kMostPending || out_.size() - sent_ >= kMostUnsent ||
+           (owner_.unsent_ >= kMostUnsentInAll && !out_.empty());
+  }
+
+  void read() {
+    if (closed_ || reading_) return;
+    reading_ = true;
+    const auto space = reader_.space();
+    socket_.async_read_some(asio::buffer(space.data(), space.size()),
+                            [self = shared_from_this()](error_code error, std::size_t bytes) {
+                              self->reading_ = false;
+                              self->got(error, bytes);
+                            });
+  }
+
+  void got(error_code error, std::size_t bytes) {
+    if (closed_) return;
+    if (error) return close();
+    // Bytes that come in are no progress of a client that does not read its answers.
+    if (out_.empty() && slots_.empty() && !lingering_) moved_ = owner_.clock_.now();
+    if (lingering_ || broken_) return read();  // read and dropped, so that closing sends no reset
+    reader_.commit(bytes);
+    go_on();
+  }
+
+  void go_on() {
+    parse();
+    write();
+    if (closed_) return;
+    held_back_ = must_hold_back();
+    if (!held_back_) read();
+  }
+
+  void parse() {
+    parsing_ = true;
+    while (!closed_ && !broken_ && !must_hold_back()) {
+      const auto progress = reader_.next(frame_);
+      if (progress == resp::Progress::kMore) break;
+      slots_.emplace_back();
+      const Ticket ticket{id_, first_ + slots_.size() - 1};
+      if (progress == resp::Progress::kBroken) {
+        broken_ = last_ = true;
+        std::string reply;
+        resp::append_error(reply, std::string("ERR Protocol error: ") + reader_.fault());
+        answer(ticket.place, reply);
+        break;
+      }
+      const auto name = owner_.events_.on_command(ticket, frame_.items);
+      if (ticket.place >= first_ && !slots_.empty() && !slots_[ticket.place - first_].done) {
+        slots_[ticket.place - first_].name = name;
+      }
+    }
+    parsing_ = false;
+  }
+
+  // Writes what it can at once; the rest when the socket has room again.
+  void write() {
+    if (closed_ || writing_ || write_failed_) return;
+    while (sent_ < out_.size()) {
+      error_code error;
+      const auto n = socket_.write_some(asio::buffer(out_.data() + sent_, out_.size() - sent_), error);
+      if (error == asio::error::would_block || error == asio::error::try_again) return write_later();
+      if (error) {
+        // Danger: an answer is often given from inside the module, which must not be entered again. So the
+        // news that this client has gone waits for the loop.
+        write_failed_ = true;
+        asio::post(owner_.io_, [self = shared_from_this()] { self->close(); });
+        return;
+      }
+      sent_ += n;
+      moved_ = owner_.clock_.now();
+    }
+    owner_.unsent_ -= out_.size();
+    out_.clear();
+    sent_ = 0;
+    if (out_.capacity() > kMostUnsent) out_.shrink_to_fit();
+    if (last_ && slots_.empty() && !parsing_) finish();
+  }
+
+  void write_later() {
+    writing_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+      self->writing_ = false;
+      if (self->closed_) return;
+      if (error) return self->close();
+      self->write();
+      if (self->held_back_) self->go_on();
+    });
+  }
+
+  // Danger: closing a socket with unread bytes sends a reset, which may destroy the last answer on its way.
+  void finish() {
+    if (lingering_) return;
+    lingering_ = true;
+    moved_ = owner_.clock_.now();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    read();
+  }
+
+  Clients& owner_;
+  std::uint64_t id_;
+  tcp::socket socket_;
+  resp::Reader reader_;
+  resp::Frame frame_;
+  std::deque<Slot> slots_;   // commands not yet answered, in their order
+  std::uint64_t first_ = 0;  // place of the first of them
+  std::string out_;
+  std::size_t sent_ = 0;
+  Ms moved_ = 0;  // last progress
+  bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
+  bool parsing_ = false, held_back_ = false, broken_ = false, lingering_ = false;
+  bool last_ = false;  // close when nothing is owed any more
+};
+
+Clients::Clients(asio::io_context& io, Clock& clock, ClientEvents& events, std::size_t most_connections)
+    : io_(io),
+      clock_(clock),
+      events_(events),
+      most_(most_connections),
+      acceptor_(io),
+      retry_accept_(io),
+      sweep_timer_(io) {}
+Clients::~Clients() = default;
+
+void Clients::listen(const tcp::endpoint& at) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(1024);
+  acceptor_.non_blocking(true);
+  accept();
+  sweep();
+}
+
+void Clients::accept() {
+  if (winding_down_ || !acceptor_.is_open()) return;
+  // Danger: a connection that the kernel has accepted counts as taken, even if nobody serves it. At the cap
+  // an idle client makes room; where none is idle, the next one waits in the kernel until one is done.
+  if (connections_.size() >= most_ && !close_an_idle_one()) {
+    retry_accept_.expires_after(kAcceptAgain);
+    retry_accept_.async_wait([this](error_code error) {
+      if (!error) accept();
+    });
+    return;
+  }
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || winding_down_) return;
+    if (!error) {
+      accepted(std::move(socket));
+      return accept();
+    }
+    // Out of descriptors, or the client has left again: the listener itself goes on.
+    log_line("accept failed", error.message());
+    close_an_idle_one();
+    retry_accept_.expires_after(kAcceptAgain);
+    retry_accept_.async_wait([this](error_code stopped) {
+      if (!stopped) accept();
+    });
+  });
+}
+
+void Clients::accepted(tcp::socket socket) {
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+  const auto id = ++last_id_;
+  const auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
+  connections_.emplace(id, connection);
+  connection->start();
+}
+
+void Clients::answer(Ticket ticket, std::string_view reply) {
+  const auto it = connections_.find(ticket.connection);
+  if (it != connections_.end()) it->second->answer(ticket.place, reply);
+}
+
+bool Clients::close_an_idle_one() {
+  std::shared_ptr<Connection> oldest;
+  for (const auto& [id, c] : connections_) {
+    if (c->idle() && (!oldest || c->moved() < oldest->moved())) oldest = c;
+  }
+  if (!oldest) return false;
+  oldest->close();
+  return true;
+}
+
+void Clients::sweep() {
+  const auto all = connections_;  // a sweep may close some
+  for (const auto& [id, c] : all) c->sweep(clock_.now());
+  sweep_timer_.expires_after(kSweep);
+  sweep_timer_.async_wait([this](error_code error) {
+    if (!error) sweep();
+  });
+}
+
+void Clients::wind_down() {
+  if (winding_down_) return;
+  // What the kernel has accepted already is taken: it is served, not reset with the listener.
+  while (acceptor_.is_open() && connections_.size() < most_) {
+    error_code error;
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (error) break;
+    accepted(std::move(socket));
+  }
+  winding_down_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  retry_accept_.cancel();
+  const auto all = connections_;
+  for (const auto& [id, c] : all) c->wind_down();
+}
+
+void Clients::close_all() {
+  const auto all = connections_;
+  for (const auto& [id, c] : all) c->close();
+  sweep_timer_.cancel();
+}
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/net/clock.h
@@ -0,0 +1,46 @@
+// The program's time: a monotonic clock in the module's milliseconds.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+
+#include "thistlepond/control.h"
+
+namespace thistlepond::net {
+
+// Read once a batch of events, so that all of a batch happen at one time, as the module expects.
+class Clock {
+ public:
+  void new_batch() { read_ = false; }
+
+  Ms now() {
+    if (!read_) {
+      now_ = kOrigin + std::chrono::duration<double, std::milli>(Steady::now() - born_).count();
+      read_ = true;
+    }
+    return now_;
+  }
+
+  // A Unix time on this clock. Danger: the module takes 0 for 'long ago', and a host may have started before
+  // this process; with an origin hours ahead, all starts that still matter lie above 0.
+  Ms from_unix(double unix_ms) {
+    using namespace std::chrono;
+    if (unix_ms <= 0) return 0;
+    const double unix_now = duration<double, std::milli>(system_clock::now().time_since_epoch()).count();
+    return std::max(0.0, now() - (unix_now - unix_ms));
+  }
+
+  std::chrono::steady_clock::time_point at(Ms when) const {
+    return born_ + std::chrono::duration_cast<Steady::duration>(
+                       std::chrono::duration<double, std::milli>(when - kOrigin));
+  }
+
+ private:
+  using Steady = std::chrono::steady_clock;
+  static constexpr Ms kOrigin = 4 * 3'600'000.0;
+  Steady::time_point born_ = Steady::now();
+  Ms now_ = kOrigin;
+  bool read_ = false;
+};
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,45 @@
+// What a gateway is told at its start: the environment and the JSON file that it names.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "discovery.h"
+#include "thistlepond/control.h"
+
+namespace thistlepond::net {
+
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  boost::asio::ip::tcp::endpoint listen;
+  boost::asio::ip::tcp::endpoint discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  std::size_t memory_mb = 192;
+  TargetList known;
+
+  Settings settings;
+  // What the sockets need of the settings beside the module's own part.
+  std::vector<std::string> class_names, plan_names, zones, kinds, report_names;
+  Ms conn_idle_ms = 0;
+  Ms connect_timeout_ms = 0;
+  std::size_t max_open = 0;
+};
+
+// Throws ConfigError with one plain line.
+Config read_config(const boost::json::value& json);
+// `variable` gives an environment variable's text, or null.
+Config load_config(const std::function<const char*(const char*)>& variable);
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,69 @@
+// Discovery: the list of hosts in its JSON form, and the watch that keeps it up to date.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <random>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace thistlepond::net {
+
+enum class TargetState : std::uint8_t { kActive, kLeaving, kLeft };
+
+struct Target {
+  std::string uid;
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::string zone, kind;
+  std::uint32_t cell = 0;
+  TargetState state = TargetState::kActive;
+  double size = 1;
+  double boot_ms = 0;  // Unix time; 0: long ago
+};
+
+struct TargetList {
+  std::uint64_t version = 0;
+  bool whole = false;
+  std::vector<Target> targets;
+};
+
+struct ListError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Throws ListError on anything that is no list of targets.
+TargetList read_targets(const boost::json::value& json);
+boost::asio::ip::tcp::endpoint read_endpoint(std::string_view text);
+
+class DiscoveryEvents {
+ public:
+  virtual ~DiscoveryEvents() = default;
+  virtual void on_targets(const TargetList& list) = 0;
+};
+
+// Watches until the program ends: a watch that breaks, falls silent or says what can't be read is begun anew,
+// from the version known last, after a pause that grows.
+class Discovery {
+ public:
+  Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, std::uint64_t seed,
+            DiscoveryEvents& events);
+
+  void start(std::uint64_t known_version);
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> watch();
+  void take_lines(std::string& text);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint at_;
+  std::mt19937_64 random_;
+  DiscoveryEvents& events_;
+  std::uint64_t version_ = 0;
+  bool heard_ = false;  // this watch has said something that could be read
+};
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/net/hosts.cpp
@@ -0,0 +1,296 @@
+#include "hosts.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "log.h"
+
+namespace thistlepond::net {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto kSweep = std::chrono::milliseconds(500);
+constexpr double kIdleShare = 0.5;  // of the host's idle limit: an answer's way and a slow moment fit besides
+constexpr std::size_t kReplyElements = 4;
+
+// Where a reply holds a host's word: the value, the figures on use, the load report.
+enum : std::size_t { kValue = 0, kReport = 2, kLeastWords = 1 };
+
+}  // namespace
+
+struct Hosts::Pool {
+  tcp::endpoint at;
+  Ms started_at = 0;
+  bool open = true;
+  std::vector<std::shared_ptr<Link>> links;  // all of them
+  std::vector<std::shared_ptr<Link>> idle;   // the last one was used last
+};
+
+class Hosts::Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(Hosts& owner, Pool& pool) : owner_(owner), pool_(&pool), socket_(owner.io_), timer_(owner.io_) {}
+
+  // False if there is no socket to be had.
+  bool connect(const tcp::endpoint& at) {
+    error_code error;
+    socket_.open(at.protocol(), error);
+    if (error) return false;
+    socket_.non_blocking(true, error);
+    socket_.set_option(tcp::no_delay(true), error);
+    timer_.expires_after(
+        std::chrono::microseconds(static_cast<std::int64_t>(owner_.limits_.connect_timeout * 1000)));
+    timer_.async_wait([self = shared_from_this()](error_code stopped) {
+      if (!stopped && !self->up_) self->finish(Outcome::kConnectFailed);
+    });
+    socket_.async_connect(at, [self = shared_from_this()](error_code failed) {
+      if (self->closed_) return;
+      self->timer_.cancel();
+      if (failed) return self->finish(Outcome::kConnectFailed);
+      self->up_ = true;
+      self->write();
+      self->read();
+    });
+    return true;
+  }
+
+  void carry(AttemptId attempt, std::string request) {
+    attempt_ = attempt;
+    request_ = std::move(request);
+    written_ = 0;
+    if (up_) write();
+  }
+
+  bool up() const { return up_; }
+  Ms idle_since() const { return idle_since_; }
+  AttemptId attempt() const { return attempt_; }
+
+  // Ends the connection and, if one is out, its attempt.
+  void finish(Outcome outcome) {
+    if (closed_) return;
+    const auto self = shared_from_this();
+    const auto attempt = std::exchange(attempt_, 0);
+    close();
+    if (attempt != 0) owner_.ended(attempt, outcome, {}, {});
+  }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    --owner_.links_;
+    const auto self = shared_from_this();
+    std::erase(pool_->idle, self);
+    std::erase(pool_->links, self);
+  }
+
+ private:
+  // Danger: only bytes that are all written can have begun to run. What breaks before that never ran and may
+  // be sent again; what breaks after it may have run.
+  Outcome broken() const { return written_ == request_.size() ? Outcome::kBroken : Outcome::kConnectFailed; }
+
+  void write() {
+    while (written_ < request_.size()) {
+      error_code error;
+      const auto n =
+          socket_.write_some(asio::buffer(request_.data() + written_, request_.size() - written_), error);
+      if (error == asio::error::would_block || error == asio::error::try_again) return write_later();
+      if (error) {
+        // An attempt may be started from inside the module, which must not be entered again: end it later.
+        asio::post(owner_.io_, [self = shared_from_this(), attempt = attempt_, outcome = broken()] {
+          if (self->attempt_ == attempt) self->finish(outcome);
+        });
+        return;
+      }
+      written_ += n;
+    }
+  }
+
+  void write_later() {
+    if (writing_) return;
+    writing_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+      self->writing_ = false;
+      if (self->closed_) return;
+      if (error) return self->finish(self->broken());
+      self->write();
+    });
+  }
+
+  // Always out, on an idle connection too, so that one which the host has closed is not used again.
+  void read() {
+    const auto space = reader_.space();
+    socket_.async_read_some(
+        asio::buffer(space.data(), space.size()),
+        [self = shared_from_this()](error_code error, std::size_t bytes) { self->got(error, bytes); });
+  }
+
+  void got(error_code error, std::size_t bytes) {
+    if (closed_) return;
+    if (error) return finish(broken());
+    reader_.commit(bytes);
+    if (attempt_ == 0) return finish(Outcome::kBroken);  // nobody asked: not to be trusted with more
+    switch (reader_.next(frame_)) {
+      case resp::Progress::kMore:
+        return read();
+      case resp::Progress::kBroken:
+        log_line("malformed reply of a host", reader_.fault());
+        return finish(broken());
+      case resp::Progress::kFrame:
+        return answered();
+    }
+  }
+
+  void answered() {
+    const auto self = shared_from_this();
+    Outcome outcome = Outcome::kError;
+    std::string_view value, report;
+    const auto& items = frame_.items;
+    if (frame_.array) {
+      if (items.size() < kLeastWords || items[kValue].kind != resp::Kind::kBulk) {
+        log_line("malformed reply of a host", "no value");
+        return finish(broken());
+      }
+      outcome = Outcome::kOk;
+      value = items[kValue].text;
+      if (items.size() > kReport && items[kReport].kind == resp::Kind::kBulk) report = items[kReport].text;
+    } else if (items[0].kind == resp::Kind::kError) {
+      const auto text = items[0].text;
+      if (text.substr(0, text.find(' ')) == "BUSY") outcome = Outcome::kFull;
+      const auto space = text.rfind(' ');
+      if (space != std::string_view::npos && text.find('=', space) != std::string_view::npos) {
+        report = text.substr(space + 1);
+      }
+    } else {
+      log_line("malformed reply of a host", "neither an array nor an error");
+      return finish(broken());
+    }
+    const auto attempt = std::exchange(attempt_, 0);
+    const bool clean = written_ == request_.size() && reader_.empty();
+    // The report of the end may start the next attempt, which could take this connection: it stays out of
+    // the pool until the value, which lies in its reader, has been passed on.
+    owner_.ended(attempt, outcome, value, report);
+    if (closed_) return;
+    if (!clean || !pool_->open || pool_->idle.size() >= owner_.limits_.idle_per_host) return close();
+    idle_since_ = owner_.clock_.now();
+    pool_->idle.push_back(self);
+    read();
+  }
+
+  Hosts& owner_;
+  Pool* pool_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  resp::Reader reader_{resp::Limits{.elements = kReplyElements}, false};
+  resp::Frame frame_;
+  AttemptId attempt_ = 0;  // 0: none
+  std::string request_;
+  std::size_t written_ = 0;
+  Ms idle_since_ = 0;
+  bool up_ = false, closed_ = false, writing_ = false;
+};
+
+Hosts::Hosts(asio::io_context& io, Clock& clock, HostEvents& events, const PoolLimits& limits)
+    : io_(io), clock_(clock), events_(events), limits_(limits), sweep_timer_(io) {
+  sweep();
+}
+Hosts::~Hosts() = default;
+
+void Hosts::add(HostId host, const tcp::endpoint& at, Ms started_at) {
+  auto& pool = pools_[host];
+  if (!pool) pool = std::make_unique<Pool>();
+  if (pool->at != at || pool->started_at != started_at) {
+    for (const auto& link : std::vector(pool->idle)) link->close();
+  }
+  pool->at = at;
+  pool->started_at = started_at;
+  pool->open = true;
+}
+
+void Hosts::retire(HostId host) {
+  const auto it = pools_.find(host);
+  if (it == pools_.end()) return;
+  it->second->open = false;
+  for (const auto& link : std::vector(it->second->idle)) link->close();
+  // Danger: an attempt behind a connect would be written after the grace for drains has passed.
+  for (const auto& link : std::vector(it->second->links)) {
+    if (!link->up()) link->finish(Outcome::kConnectFailed);
+  }
+}
+
+bool Hosts::drop_an_idle_link() {
+  std::shared_ptr<Link> oldest;
+  for (const auto& [id, pool] : pools_) {
+    if (!pool->idle.empty() && (!oldest || pool->idle.front()->idle_since() < oldest->idle_since())) {
+      oldest = pool->idle.front();
+    }
+  }
+  if (!oldest) return false;
+  oldest->close();
+  return true;
+}
+
+bool Hosts::start(AttemptId attempt, HostId host, std::string request) {
+  const auto it = pools_.find(host);
+  if (it == pools_.end() || !it->second->open) return false;
+  Pool& pool = *it->second;
+  if (!pool.idle.empty()) {
+    const auto link = pool.idle.back();
+    pool.idle.pop_back();
+    out_.emplace(attempt, link);
+    link->carry(attempt, std::move(request));
+    return true;
+  }
+  if (pool.links.size() >= limits_.per_host) return false;
+  if (links_ >= limits_.connections && !drop_an_idle_link()) return false;
+  const auto link = std::make_shared<Link>(*this, pool);
+  // Out of descriptors: an idle connection elsewhere gives way, else this attempt was never sent.
+  if (!link->connect(pool.at) &&
+      !((drop_an_idle_link() || (make_room && make_room())) && link->connect(pool.at))) {
+    log_line("no socket for a host");
+    return false;
+  }
+  ++links_;
+  pool.links.push_back(link);
+  out_.emplace(attempt, link);
+  link->carry(attempt, std::move(request));
+  return true;
+}
+
+void Hosts::abandon(AttemptId attempt) {
+  const auto it = out_.find(attempt);
+  if (it == out_.end()) return;
+  const auto link = it->second;
+  out_.erase(it);
+  link->close();
+}
+
+void Hosts::ended(AttemptId attempt, Outcome outcome, std::string_view value, std::string_view report) {
+  if (out_.erase(attempt) > 0) events_.on_attempt_end(attempt, outcome, value, report);
+}
+
+void Hosts::sweep() {
+  for (const auto& [id, pool] : pools_) {
+    for (const auto& link : std::vector(pool->idle)) {
+      if (clock_.now() - link->idle_since() > limits_.idle_limit * kIdleShare) link->close();
+    }
+  }
+  sweep_timer_.expires_after(kSweep);
+  sweep_timer_.async_wait([this](error_code error) {
+    if (!error) sweep();
+  });
+}
+
+void Hosts::close_all() {
+  for (const auto& [id, pool] : pools_) {
+    for (const auto& link : std::vector(pool->links)) link->close();
+  }
+  sweep_timer_.cancel();
+}
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/net/main.cpp
@@ -0,0 +1,71 @@
+// The real api gateway: environment, signals, the event loop and the exit code.
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <string>
+
+#include "clock.h"
+#include "config.h"
+#include "gateway.h"
+#include "log.h"
+
+namespace {
+
+using namespace thistlepond::net;
+
+constexpr int kMostInBatch = 64;  // handlers; then the clock is read again
+
+// The soft limit on descriptors may lie under what the configuration grants.
+void raise_descriptor_limit(std::size_t sockets) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, std::max<rlim_t>(limit.rlim_cur, sockets));
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+// Danger: an exception out of one handler would end the program and lose all that it has taken. The tables
+// stay whole, each request keeps the timer of its deadline, and the loop goes on.
+void run(boost::asio::io_context& io, Clock& clock) {
+  while (!io.stopped()) {
+    try {
+      clock.new_batch();
+      if (io.run_one() == 0) return;
+      for (int i = 1; i < kMostInBatch && io.poll_one() > 0; ++i) {
+      }
+    } catch (const std::exception& error) {
+      log_line("a handler threw", error.what());
+    } catch (...) {
+      log_line("a handler threw");
+    }
+  }
+}
+
+}  // namespace
+
+int main() {
+  try {
+    std::signal(SIGPIPE, SIG_IGN);
+    const Config config = load_config([](const char* name) -> const char* { return std::getenv(name); });
+    raise_descriptor_limit(config.sockets);
+    boost::asio::io_context io(1);
+    Clock clock;
+    Gateway gateway(io, clock, config, [&io] { io.stop(); });
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&gateway](boost::system::error_code error, int) {
+      if (!error) gateway.stop();
+    });
+    gateway.start();
+    const auto at = gateway.address();
+    log_line("ready: " + config.name, at.address().to_string() + ":" + std::to_string(at.port()));
+    run(io, clock);
+    log_line("stopped", config.name);
+    return 0;
+  } catch (const std::exception& error) {
+    log_line("cometfold can't start", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/resp.h
@@ -0,0 +1,81 @@
+// RESP2, strictly and in bounded memory: an incremental reader and a writer. Does no I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace thistlepond::net::resp {
+
+struct Limits {
+  std::size_t value = 64 * 1024;   // bytes of one bulk string
+  std::size_t elements = 8;        // of an array
+  std::size_t line = 1024;         // bytes of a line: a status, an error, a length
+  std::size_t frame = 144 * 1024;  // bytes of a whole command or reply
+};
+
+enum class Kind : std::uint8_t { kBulk, kNull, kSimple, kError, kInteger };
+
+struct Item {
+  Kind kind = Kind::kNull;
+  std::string_view text;
+};
+
+// A whole command or reply. The texts lie in the reader and last until its next call.
+struct Frame {
+  bool array = false;  // else `items` holds the one value
+  std::vector<Item> items;
+};
+
+enum class Progress : std::uint8_t { kMore, kFrame, kBroken };
+
+// Bytes go in through `space` and `commit`; `next` gives frame after frame. What a peer announces is checked
+// against the limits before any memory is set aside for it. Once broken, a reader stays broken.
+class Reader {
+ public:
+  // `commands`: only arrays of bulk strings that are not null, as clients send them.
+  Reader(const Limits& limits, bool commands) : limits_(limits), commands_(commands) {}
+
+  std::span<char> space();
+  void commit(std::size_t bytes) { end_ += bytes; }
+  Progress next(Frame& frame);
+
+  bool empty() const { return begin_ + consumed_ == end_; }
+  std::size_t held() const { return buffer_.size(); }
+  const char* fault() const { return fault_; }
+
+ private:
+  struct Mark {
+    Kind kind;
+    std::size_t at, size;  // from `begin_`
+  };
+
+  void drop_consumed();
+  Progress broken(const char* why);
+  Progress line(std::string_view& text);
+  Progress element(std::string_view header);
+
+  Limits limits_;
+  bool commands_;
+  std::vector<char> buffer_;
+  std::size_t begin_ = 0, end_ = 0;
+  std::size_t consumed_ = 0;  // of the frame given out last
+  std::size_t cursor_ = 0;    // parsed so far, from `begin_`
+  bool started_ = false, array_ = false;
+  std::size_t wanted_ = 0;  // elements still to come
+  bool in_bulk_ = false;    // a bulk string's length is known, its bytes are awaited
+  std::size_t bulk_size_ = 0;
+  std::vector<Mark> marks_;
+  const char* fault_ = nullptr;
+};
+
+void append_array(std::string& out, std::size_t elements);
+void append_bulk(std::string& out, std::string_view value);
+// An error line; bytes that would break the line are left out.
+void append_error(std::string& out, std::string_view text);
+void append_simple(std::string& out, std::string_view text);
+
+}  // namespace thistlepond::net::resp
