Tests over loopback sockets; a newcomer is never closed to make room for itself

They found one fault: at the cap of client connections the one idle longest is closed, and about one run in five of the test for the cap under load saw the newcomer closed. Seen: the connection ended before its PONG; ruled out: descriptors (the limit was not reached) and the module (no request involved). Cause: up to 64 events share one reading of the clock, so the times of last use were equal and the choice among them arbitrary (Clients::close_an_idle_one). Now a count of uses decides.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -27,7 +27,7 @@
  public:
   Connection(Clients& owner, std::uint64_t id, tcp::socket socket)
       : owner_(owner), id_(id), socket_(std::move(socket)), reader_(resp::Limits{}, true) {
-    moved_ = owner_.clock_.now();
+    touch();
   }
 
   void start() { read(); }
@@ -55,7 +55,7 @@
   }
 
   bool idle() const { return slots_.empty() && out_.empty() && reader_.empty() && !lingering_; }
-  Ms moved() const { return moved_; }
+  std::uint64_t used() const { return used_; }
 
   void wind_down() {
     if (idle()) {
@@ -88,6 +88,13 @@
   }
 
  private:
+  // Danger: many events share one reading of the clock, so it can't tell who was idle longest, and a client
+  // that has just come could be closed to make room for itself. A count can.
+  void touch() {
+    moved_ = owner_.clock_.now();
+    used_ = ++owner_.uses_;
+  }
+
   struct Slot {
     std::uint64_t name = 0;
     bool done = false;
@@ -96,7 +103,7 @@
   };
 
   void append(std::string_view reply) {
-    if (out_.empty()) moved_ = owner_.clock_.now();
+    if (out_.empty()) touch();
     out_ += reply;
     owner_.unsent_ += reply.size();
   }
@@ -123,7 +130,7 @@
     if (closed_) return;
     if (error) return close();
     // Bytes that come in are no progress of a client that does not read its answers.
-    if (out_.empty() && slots_.empty() && !lingering_) moved_ = owner_.clock_.now();
+    if (out_.empty() && slots_.empty() && !lingering_) touch();
     if (lingering_ || broken_) return read();  // read and dropped, so that closing sends no reset
     reader_.commit(bytes);
     go_on();
@@ -174,7 +181,7 @@
         return;
       }
       sent_ += n;
-      moved_ = owner_.clock_.now();
+      touch();
     }
     owner_.unsent_ -= out_.size();
     out_.clear();
@@ -214,6 +221,7 @@
   std::string out_;
   std::size_t sent_ = 0;
   Ms moved_ = 0;  // last progress
+  std::uint64_t used_ = 0;
   bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
   bool parsing_ = false, held_back_ = false, broken_ = false, lingering_ = false;
   bool last_ = false;  // close when nothing is owed any more
@@ -284,7 +292,7 @@
 bool Clients::close_an_idle_one() {
   std::shared_ptr<Connection> oldest;
   for (const auto& [id, c] : connections_) {
-    if (c->idle() && (!oldest || c->moved() < oldest->moved())) oldest = c;
+    if (c->idle() && (!oldest || c->used() < oldest->used())) oldest = c;
   }
   if (!oldest) return false;
   oldest->close();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -64,6 +64,7 @@
   boost::asio::steady_timer sweep_timer_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
   std::uint64_t last_id_ = 0;
+  std::uint64_t uses_ = 0;
   std::size_t unsent_ = 0;  // bytes of answers that wait for slow readers, over all connections
   bool winding_down_ = false;
 };
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,425 @@
+// The real program between scripted clients, hosts and discovery, over loopback sockets.
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net_support.h"
+
+namespace thistlepond::net::testing {
+namespace {
+
+std::string known(const std::vector<std::string>& targets) { return list(7, true, targets); }
+
+TEST(Serving, TheValueAndTheWordsPassUnchanged) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  const std::string body = std::string("line\r\n\0$3", 9) + std::string(65000, 'b');
+  const std::string value = std::string("\r\n-ERR\0", 7) + std::string(65000, 'v');
+  client.send(submit("hold", 5, body));
+  auto at = host.accept();
+  const auto words = at.command();
+  ASSERT_EQ(words.size(), 5u);
+  EXPECT_EQ(words[0], "SVC.SUBMIT");
+  EXPECT_EQ(words[1], id(5));
+  EXPECT_EQ(words[2], id(5));
+  EXPECT_EQ(words[4], body);
+  const auto d = words[3].find("d="), end = words[3].find(",k=");
+  EXPECT_EQ(words[3].substr(0, d), "c=hold,t=team,");
+  EXPECT_EQ(words[3].substr(end), ",k=ab,units=1,spread=2,first=0");
+  const int left = std::stoi(words[3].substr(d + 2));
+  EXPECT_GT(left, 0);
+  EXPECT_LT(left, 30000);  // less than the client waits
+  at.send(served(value));
+  EXPECT_EQ(client.reply(), value);
+}
+
+TEST(Serving, AnIdleHostConnectionIsUsedAgainAndABusyOneIsNot) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto a = program.client(), b = program.client();
+  a.send(query(1));
+  auto first = host.accept();
+  first.command();
+  b.send(query(2));  // the first connection owes an answer
+  auto second = host.accept();
+  second.command();
+  first.send(served("one"));
+  EXPECT_EQ(a.reply(), "one");
+  a.send(query(3));
+  EXPECT_EQ(first.command().at(2), id(3));
+  first.send(served("three"));
+  second.send(served("two"));
+  EXPECT_EQ(a.reply(), "three");
+  EXPECT_EQ(b.reply(), "two");
+}
+
+TEST(Serving, EqualIdsOnTheWireAreDifferentRequests) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto a = program.client(), b = program.client();
+  a.send(query(9));
+  auto first = host.accept();
+  first.command();
+  b.send(query(9));
+  auto second = host.accept();
+  second.command();
+  second.send(served("b"));
+  EXPECT_EQ(b.reply(), "b");
+  first.send(served("a"));
+  EXPECT_EQ(a.reply(), "a");
+}
+
+TEST(Serving, PipelinedAnswersComeInTheOrderOfTheCommands) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(query(1) + command({"PING"}) + query(2) + command({"NONE"}));
+  auto first = host.accept(), second = host.accept();
+  const bool straight = first.command().at(2) == id(1);
+  second.command();
+  auto& of_one = straight ? first : second;
+  auto& of_two = straight ? second : first;
+  of_two.send(served("two"));
+  EXPECT_TRUE(client.quiet(50));  // nothing may overtake the first answer
+  of_one.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  EXPECT_EQ(client.reply(), "+PONG");
+  EXPECT_EQ(client.reply(), "two");
+  EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
+}
+
+TEST(Serving, HalfARequestWaitsForItsRest) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client(), other = program.client();
+  const auto text = query(1);
+  client.send(text.substr(0, text.size() - 1));
+  other.send(command({"PING"}));
+  EXPECT_EQ(other.reply(), "+PONG");
+  EXPECT_FALSE(host.waiting(20));  // nothing goes out before the last byte is in
+  client.send(text.substr(text.size() - 1));
+  auto at = host.accept();
+  at.command();
+  at.send(served("whole"));
+  EXPECT_EQ(client.reply(), "whole");
+}
+
+TEST(Input, BadRequestsAreNamedAndReachNoHost) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  const std::string rest = "t=team,d=900,units=1,spread=2,first=0";
+  for (const auto& bad : std::vector<std::vector<std::string>>{
+           {"SVC.QUERY"},
+           {"SVC.QUERY", id(1), id(1)},
+           {"SVC.QUERY", "xyz", id(1), "c=lookup," + rest},
+           {"SVC.QUERY", "0000000200000000", id(1), "c=lookup," + rest},
+           {"SVC.QUERY", id(1), "1", "c=lookup," + rest},
+           {"SVC.QUERY", id(1), id(1), "c=none," + rest},
+           {"SVC.QUERY", id(1), id(1), "c=hold,k=1," + rest},
+           {"SVC.SUBMIT", id(1), id(1), "c=hold," + rest, "B"},
+           {"SVC.SUBMIT", id(1), id(1), "c=hold,k=," + rest, "B"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=none,d=900,units=1,spread=2,first=0"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=team,d=-5,units=1,spread=2,first=0"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=team,d=nan,units=1,spread=2,first=0"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=team,units=1,spread=2,first=0"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=team,d=900,units=5,spread=2,first=0"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=team,d=900,units=1,spread=3,first=0"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,t=team,d=900,units=1,spread=2,first=2"},
+           {"SVC.QUERY", id(1), id(1), "c=lookup,c=lookup," + rest},
+           {"SVC.QUERY", id(1), id(1), "lookup," + rest},
+           {"HELLO", "3"}}) {
+    client.send(command(bad));
+    EXPECT_EQ(client.reply().substr(0, 4), "-ERR") << bad.back();
+  }
+  client.send(command({"PING"}));
+  EXPECT_EQ(client.reply(), "+PONG");
+  EXPECT_FALSE(host.waiting(20));
+}
+
+TEST(Input, ABrokenFrameIsNamedAndEndsItsConnectionAlone) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto good = program.client();
+  for (const std::string bad : {"PING\r\n", "*1\r\n$99999999\r\n", "*1\r\n:1\r\n", "*100000\r\n"}) {
+    auto client = program.client();
+    client.send(bad);
+    EXPECT_EQ(client.reply().substr(0, 4), "-ERR") << bad;
+    EXPECT_TRUE(client.ends());
+  }
+  good.send(command({"PING"}));
+  EXPECT_EQ(good.reply(), "+PONG");
+}
+
+TEST(Hosts, OneThatBreaksAfterTheLastByteMayHaveRunAnUnsafeRequest) {
+  Listener host, other, discovery;
+  Program program(config(known({target("s-1", host.port()), target("s-2", other.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(submit("pay", 1));
+  const bool first = host.waiting(50) || !other.waiting(1000);
+  auto at = (first ? host : other).accept();
+  at.command();
+  at.reset();
+  EXPECT_EQ(client.reply().substr(0, 4), "-ERR");  // a failure: no refusal, no second attempt
+  EXPECT_FALSE((first ? other : host).waiting(20));
+}
+
+TEST(Hosts, AMalformedReplyIsABrokenAttempt) {
+  for (const std::string bad : {"*1\r\n$-1\r\n", "$3\r\nabc\r\n", "+OK\r\n", "*3\r\n*1\r\n", "what\r\n"}) {
+    Listener host, other, discovery;
+    Program program(
+        config(known({target("s-1", host.port()), target("s-2", other.port())}), discovery.port()));
+    auto client = program.client();
+    client.send(query(1));
+    const bool first = host.waiting(50) || !other.waiting(1000);
+    auto at = (first ? host : other).accept();
+    at.command();
+    at.send(bad);
+    auto again = (first ? other : host).accept();  // a safe request goes to the other host
+    again.command();
+    again.send(served("good"));
+    EXPECT_EQ(client.reply(), "good") << bad;
+    EXPECT_TRUE(at.ends());
+  }
+}
+
+TEST(Hosts, ARefusedConnectNeverRanSoEvenUnsafeGoesToAnother) {
+  Listener gone, host, discovery;
+  Program program(config(known({target("s-1", gone.port()), target("s-2", host.port())}), discovery.port()));
+  gone.close();
+  auto client = program.client();
+  std::optional<Peer> at;
+  for (unsigned n = 1; n <= 6; ++n) {
+    client.send(submit("pay", n));
+    if (!at) at = host.accept();
+    EXPECT_EQ(at->command().at(2), id(n));
+    at->send(served("ok"));
+    EXPECT_EQ(client.reply(), "ok");
+  }
+}
+
+TEST(Hosts, OneThatClosesAnIdleConnectionIsAskedOnANewOne) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(query(1));
+  auto at = host.accept();
+  at.command();
+  at.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  at.close();
+  client.send(command({"PING"}));  // the end has come to the program before what follows
+  EXPECT_EQ(client.reply(), "+PONG");
+  client.send(query(2));
+  auto next = host.accept();
+  EXPECT_EQ(next.command().at(2), id(2));
+  next.send(served("two"));
+  EXPECT_EQ(client.reply(), "two");
+}
+
+TEST(Hosts, ASilentOneCostsTheClientNoAnswer) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(submit("pay", 1).replace(submit("pay", 1).find("d=30000"), 7, "d=00400"));
+  auto at = host.accept();
+  at.command();
+  EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
+  EXPECT_TRUE(at.ends());  // given up by closing
+  client.send(command({"PING"}));
+  EXPECT_EQ(client.reply(), "+PONG");  // and nothing more came for the request
+}
+
+TEST(Clients, OneThatGoesAwayHasItsAttemptCalledOff) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(query(1));
+  auto at = host.accept();
+  at.command();
+  client.close();
+  EXPECT_TRUE(at.ends());
+}
+
+TEST(Clients, ASlowReaderIsBoundedAndHoldsNobodyElseUp) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto slow = program.client(), other = program.client();
+  constexpr unsigned kCommands = 2000;  // 120 MB of answers, if they were all taken in
+  const std::string ping = command({"PING", std::string(60000, 'p')});
+  // The program stops taking commands in long before all are sent: so they are sent beside the reading.
+  std::thread sender([&] {
+    for (unsigned i = 0; i < kCommands; ++i) slow.send(ping);
+  });
+  for (unsigned n = 0; n < 20; ++n) {
+    other.send(command({"PING"}));
+    EXPECT_EQ(other.reply(), "+PONG");
+  }
+  for (unsigned i = 0; i < kCommands; ++i) ASSERT_EQ(slow.reply().size(), 60000u);
+  sender.join();
+}
+
+TEST(Clients, AtTheCapOfDescriptorsNewOnesAreStillAnswered) {
+  Listener host, discovery;
+  auto conf = config(known({target("s-1", host.port())}), discovery.port());
+  conf["limits"].as_object()["sockets"] = 64;
+  Program program(conf);
+  std::vector<Peer> idle;
+  for (int i = 0; i < 200; ++i) {
+    idle.push_back(program.client());
+    idle.back().send(command({"PING"}));
+    ASSERT_EQ(idle.back().reply(), "+PONG") << i;
+  }
+  std::size_t open = 0;
+  for ([[maybe_unused]] const auto& entry :
+       std::filesystem::directory_iterator("/proc/" + std::to_string(program.pid()) + "/fd")) {
+    ++open;
+  }
+  EXPECT_LE(open, 64u);
+  auto client = program.client();
+  client.send(query(1));
+  auto at = host.accept();
+  at.command();
+  at.send(served("ok"));
+  EXPECT_EQ(client.reply(), "ok");
+}
+
+// ---- discovery ----
+
+std::string watch_head(Peer& peer) {
+  const auto first = peer.line();
+  while (!peer.line().empty()) {
+  }
+  peer.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+  return first;
+}
+void chunk(Peer& peer, const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  peer.send(size + text + "\r\n");
+}
+
+TEST(Discovery, ARestartServesFromTheKnownListAndWatchesFromItsVersion) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto agent = discovery.accept();  // and silent
+  EXPECT_NE(agent.line().find("follow=1&since=7 "), std::string::npos);
+  auto client = program.client();
+  client.send(query(1));
+  auto at = host.accept();
+  at.command();
+  at.send(served("ok"));
+  EXPECT_EQ(client.reply(), "ok");
+}
+
+TEST(Discovery, NotReadyBeforeAnyHostIsKnown) {
+  Listener host, discovery;
+  Program program(config(known({}), discovery.port()));
+  auto client = program.client();
+  client.send(command({"PING"}));
+  EXPECT_EQ(client.reply().substr(0, 8), "-LOADING");
+  auto agent = discovery.accept();
+  watch_head(agent);
+  chunk(agent, list(8, true, {target("s-1", host.port())}) + "\n");
+  std::string reply;
+  while (reply != "+PONG") {
+    client.send(command({"PING"}));
+    reply = client.reply();
+  }
+}
+
+TEST(Discovery, LinesMayBeCutAnywhereAndAWatchGoesOnFromTheVersionLastHeard) {
+  Listener host, next, discovery;
+  Program program(config(known({target("s-1", host.port(), "leaving")}), discovery.port()));
+  auto agent = discovery.accept();
+  watch_head(agent);
+  const auto text = list(8, false, {target("s-2", next.port())}) + "\n\n" + list(9, false, {}) + "\n";
+  for (const char c : text) chunk(agent, std::string(1, c));
+  agent.close();
+  auto again = discovery.accept();
+  EXPECT_NE(watch_head(again).find("since=9 "), std::string::npos);
+  auto client = program.client();
+  client.send(query(1));
+  auto at = next.accept();  // the first one leaves
+  at.command();
+  at.send(served("ok"));
+  EXPECT_EQ(client.reply(), "ok");
+}
+
+TEST(Discovery, AMalformedLineIsLoggedAndTheWatchResumedFromAKnownVersion) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  int since = 7;
+  for (const std::string bad :
+       {"{", "[]", "{\"rev\":9}", "{\"rev\":9,\"all\":false,\"targets\":[{\"uid\":\"s-2\"}]}"}) {
+    auto agent = discovery.accept();
+    EXPECT_NE(watch_head(agent).find("since=" + std::to_string(since) + " "), std::string::npos);
+    chunk(agent, bad + "\n");
+    program.log_until("malformed line");
+  }
+  auto client = program.client();
+  client.send(command({"PING"}));
+  EXPECT_EQ(client.reply(), "+PONG");
+}
+
+TEST(Discovery, ADrainTakesBackWhatStillWaitsForAConnection) {
+  Listener full(0), discovery;
+  std::vector<Fd> fill;  // connects that fill the queue: further ones get no answer
+  for (int i = 0; i < 4; ++i) {
+    fill.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    const auto at = loopback(full.port());
+    ::connect(fill.back().get(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+  }
+  Program program(config(known({target("s-1", full.port())}), discovery.port()));
+  auto agent = discovery.accept();
+  watch_head(agent);
+  auto client = program.client();
+  client.send(submit("pay", 1) + command({"PING"}));
+  auto other = program.client();
+  other.send(command({"PING"}));
+  EXPECT_EQ(other.reply(), "+PONG");
+  EXPECT_TRUE(client.quiet(50));
+  chunk(agent, list(8, false, {target("s-1", full.port(), "leaving")}) + "\n");
+  EXPECT_EQ(client.reply().substr(0, 5), "-BUSY");  // never ran, and nobody else to ask
+  EXPECT_EQ(client.reply(), "+PONG");
+}
+
+// ---- the stop ----
+
+TEST(Stop, WhatIsOutIsAnsweredAndNewcomersAreServedMeanwhile) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(query(1));
+  auto at = host.accept();
+  at.command();
+  program.terminate();
+  auto late = program.client();  // connections go on coming for a while
+  late.send(query(2));
+  auto next = host.accept();
+  next.command();
+  next.send(served("two"));
+  EXPECT_EQ(late.reply(), "two");
+  EXPECT_TRUE(late.ends());  // closed once idle
+  at.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  EXPECT_TRUE(client.ends());
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+TEST(Stop, WhatNobodyAnswersIsFailedBeforeTheProgramIsKilled) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  client.send(submit("pay", 1));
+  auto at = host.accept();
+  at.command();
+  program.terminate();
+  EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
+  EXPECT_TRUE(client.ends());
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+}  // namespace
+}  // namespace thistlepond::net::testing
--- /dev/null
+++ b/tests/hosts_test.cpp
@@ -0,0 +1,149 @@
+// Attempts and pools against scripted hosts, and what the settings' reader refuses.
+#include "hosts.h"
+
+#include <cstring>
+#include <map>
+#include <thread>
+
+#include "config.h"
+#include "gateway.h"
+#include "net_support.h"
+
+namespace thistlepond::net::testing {
+namespace {
+
+struct Ends : HostEvents {
+  std::map<AttemptId, std::vector<Outcome>> seen;
+  void on_attempt_end(AttemptId attempt, Outcome outcome, std::string_view, std::string_view) override {
+    seen[attempt].push_back(outcome);
+  }
+};
+
+struct Bench {
+  boost::asio::io_context io;
+  Clock clock;
+  Ends ends;
+  Hosts hosts;
+  explicit Bench(PoolLimits limits = {}) : hosts(io, clock, ends, limits) {}
+  void add(HostId id, int port) {
+    hosts.add(id, {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, 0);
+  }
+  Outcome wait_for(AttemptId attempt) {
+    while (!ends.seen.contains(attempt)) {
+      clock.new_batch();
+      io.run_one();
+    }
+    return ends.seen[attempt].at(0);
+  }
+};
+
+const std::string kLarge = command({"SVC.SUBMIT", std::string(16 << 20, 'x')});  // more than buffers hold
+
+TEST(Attempts, BrokenBeforeTheLastByteIsCouldNotConnectAndAfterItAReset) {
+  for (const bool whole : {false, true}) {
+    Listener host;
+    Bench bench;
+    bench.add(1, host.port());
+    ASSERT_TRUE(bench.hosts.start(1, 1, kLarge));
+    std::thread peer([&] {
+      auto at = host.accept();
+      at.exactly(whole ? kLarge.size() : 1);
+      at.reset();
+    });
+    EXPECT_EQ(bench.wait_for(1), whole ? Outcome::kBroken : Outcome::kConnectFailed);
+    peer.join();
+    bench.io.poll();
+    EXPECT_EQ(bench.ends.seen[1].size(), 1u);  // once
+    EXPECT_EQ(bench.hosts.connections(), 0u);
+  }
+}
+
+TEST(Attempts, RefusedAndTurnedAway) {
+  Listener host, gone;
+  Bench bench;
+  bench.add(1, host.port());
+  bench.add(2, gone.port());
+  gone.close();
+  ASSERT_TRUE(bench.hosts.start(1, 2, "x"));
+  EXPECT_EQ(bench.wait_for(1), Outcome::kConnectFailed);
+  std::thread peer([&] {
+    auto at = host.accept();
+    at.command();
+    at.send("-BUSY depth=9\r\n");
+    at.command();
+    at.send("-ERR failed\r\n");
+  });
+  ASSERT_TRUE(bench.hosts.start(2, 1, query(1)));
+  EXPECT_EQ(bench.wait_for(2), Outcome::kFull);
+  ASSERT_TRUE(bench.hosts.start(3, 1, query(2)));
+  EXPECT_EQ(bench.wait_for(3), Outcome::kError);
+  peer.join();
+}
+
+TEST(Attempts, AnAbandonedOneIsReportedNoMore) {
+  Listener host;
+  Bench bench;
+  bench.add(1, host.port());
+  ASSERT_TRUE(bench.hosts.start(1, 1, query(1)));
+  bench.hosts.abandon(1);
+  EXPECT_EQ(bench.hosts.connections(), 0u);
+  ASSERT_TRUE(bench.hosts.start(2, 1, query(2)));
+  std::thread peer([&] {
+    for (;;) {
+      auto at = host.accept();
+      if (!at.more()) continue;  // the abandoned one
+      at.send(served("x"));
+      at.ends();
+      return;
+    }
+  });
+  EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
+  bench.hosts.close_all();
+  peer.join();
+  EXPECT_FALSE(bench.ends.seen.contains(1));
+}
+
+TEST(Attempts, TheCapIsKeptAndARetiredHostGetsNothing) {
+  Listener host;
+  PoolLimits limits;
+  limits.connections = 2;
+  Bench bench(limits);
+  bench.add(1, host.port());
+  EXPECT_TRUE(bench.hosts.start(1, 1, query(1)));
+  EXPECT_TRUE(bench.hosts.start(2, 1, query(2)));
+  EXPECT_FALSE(bench.hosts.start(3, 1, query(3)));
+  bench.hosts.retire(1);  // both still wait for their connections
+  EXPECT_EQ(bench.ends.seen[1].at(0), Outcome::kConnectFailed);
+  EXPECT_EQ(bench.ends.seen[2].at(0), Outcome::kConnectFailed);
+  EXPECT_FALSE(bench.hosts.start(4, 1, query(4)));
+  EXPECT_FALSE(bench.hosts.start(5, 9, query(5)));
+}
+
+TEST(Numbers, AHostsNumberComesFromItsUidAlone) {
+  EXPECT_EQ(host_number("123456789"), 0xcbf43926u);  // CRC-32's check value: the same on any machine
+  EXPECT_NE(host_number("s-5be2a07c"), host_number("s-5be2a07d"));
+}
+
+TEST(Config, TheSettingsComeByTheWiresNamesAndWhatIsMissingIsNamed) {
+  const auto good = config(list(7, true, {target("s-1", 9)}), 9);
+  const auto read = read_config(good);
+  EXPECT_EQ(read.settings.classes.at(1).repeat, Repeat::kKeyed);
+  EXPECT_EQ(read.settings.classes.at(1).group, KeyGroup::kAll);
+  EXPECT_EQ(read.settings.plans.at(0).quota_rate, 100000);
+  EXPECT_EQ(read.settings.gateways, 2);
+  EXPECT_EQ(read.settings.report_fields, std::vector{LoadField::kQueue});
+  EXPECT_EQ(read.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(read.known.version, 7u);
+  EXPECT_EQ(read.zones, std::vector<std::string>{"a"});
+  for (const auto& [key, value] : good.at("settings").as_object()) {
+    if (key == "zones" || key == "host_types" || key == "load_report") continue;
+    auto bad = good;
+    bad["settings"].as_object().erase(key);
+    EXPECT_THROW(read_config(bad), ConfigError) << key;
+    bad["settings"].as_object()[key] = "so";
+    EXPECT_THROW(read_config(bad), ConfigError) << key;
+  }
+}
+
+}  // namespace
+}  // namespace thistlepond::net::testing
