Half the system calls: finished requests' timers and empty looks for events cost nothing

Checked and ruled out: repeated reads (asio skips most), connects (3 in ten seconds), discovery. Cause: each request leaves the module's wake-up and its deadline in the heap, and both fired long after it was done, at two settings of the timer each (run_timers); and poll_one after run_one asked the kernel for more after every event (main.cpp).

Now timers of finished requests are dropped when the timer is set, and a batch is what one handler finds.

Also: the log names what broke a watch without the library's source position. Load reports were checked with a printed probe: they come as depth=N, by the settings' names, and are read.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -114,6 +114,8 @@
     try {
       co_await watch();
       why = "ended";
+    } catch (const boost::system::system_error& error) {
+      why = error.code().message();
     } catch (const std::exception& error) {
       why = error.what();
     }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -496,7 +496,16 @@
   arm_timer();
 }
 
+// Most requests are done long before their timers are due, and the module's can't be revoked. Such timers are
+// dropped here instead of waking the program for nothing: that was two wake-ups and four system calls a
+// request.
+void Gateway::drop_dead_timers() {
+  const auto dead = [&](const Timer& t) { return t.token <= last_request_ && !asked_.contains(t.token); };
+  while (!timers_.empty() && dead(timers_.top())) timers_.pop();
+}
+
 void Gateway::arm_timer() {
+  drop_dead_timers();
   if (timers_.empty() || (timer_at_ > 0 && timer_at_ <= timers_.top().at)) return;
   timer_at_ = timers_.top().at;
   timer_.expires_at(clock_.at(timer_at_));
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -104,6 +104,7 @@
   void tell_module();
   void forget_if_done(RequestId id);
   void run_timers();
+  void drop_dead_timers();
   void arm_timer();
   void await_stopped();
   void settle_all();
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -17,8 +17,6 @@
 
 using namespace thistlepond::net;
 
-constexpr int kMostInBatch = 64;  // handlers; then the clock is read again
-
 // The soft limit on descriptors may lie under what the configuration grants.
 void raise_descriptor_limit(std::size_t sockets) {
   rlimit limit{};
@@ -27,6 +25,9 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+// A batch is what one handler finds: all commands of one read, or all timers that are due. Taking several
+// handlers for one batch would need a look for more after each, which is a system call.
+//
 // Danger: an exception out of one handler would end the program and lose all that it has taken. The tables
 // stay whole, each request keeps the timer of its deadline, and the loop goes on.
 void run(boost::asio::io_context& io, Clock& clock) {
@@ -34,8 +35,6 @@
     try {
       clock.new_batch();
       if (io.run_one() == 0) return;
-      for (int i = 1; i < kMostInBatch && io.poll_one() > 0; ++i) {
-      }
     } catch (const std::exception& error) {
       log_line("a handler threw", error.what());
     } catch (...) {
