Memory of bodies bounded for copies too; an exception out of the module no longer silences it

Read through for what could pass the memory limit: a request's body is held by the gateway and copied for each attempt, and idle connections kept the last one. 64 MB of bodies could so have become 128 MB and more, of 192. Now an eighth of the limit may be bodies and an idle connection gives a large one back (Hosts::Link::answered). Also found: had the module thrown inside tell_module, its flag would have stayed set and no attempt's end been told again; it is now unset on every way out.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <chrono>
 #include <cmath>
+#include <memory>
 #include <utility>
 
 #include "log.h"
@@ -274,9 +275,10 @@
     clients_.answer(ticket, error_reply(std::string("ERR ") + why));
     return 0;
   }
-  // Nothing has been sent for it, so a refusal is lawful. A third of the memory may be bodies.
+  // Nothing has been sent for it, so a refusal is lawful. An eighth of the memory may be bodies: an attempt
+  // holds a copy, and what comes in and goes out needs as much again.
   if (owed_ >= config_.max_open ||
-      held_bytes_ + parsed.order.body.size() > config_.memory_mb * 1024 * 1024 / 3) {
+      held_bytes_ + parsed.order.body.size() > config_.memory_mb * 1024 * 1024 / 8) {
     clients_.answer(ticket, "-BUSY\r\n");
     return 0;
   }
@@ -404,6 +406,8 @@
 void Gateway::tell_module() {
   if (telling_) return;
   telling_ = true;
+  // Danger: an exception out of the module would leave the flag set, and no end would ever be told again.
+  const std::unique_ptr<bool, void (*)(bool*)> unset(&telling_, [](bool* flag) { *flag = false; });
   while (!ends_.empty()) {
     const End end = ends_.front();
     ends_.pop_front();
@@ -415,7 +419,6 @@
     control_.on_attempt_end(clock_.now(), told, *this);
     forget_if_done(end.request);
   }
-  telling_ = false;
 }
 
 void Gateway::settle(RequestId id, std::string_view reply) {
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -16,6 +16,7 @@
 constexpr auto kSweep = std::chrono::milliseconds(500);
 constexpr double kIdleShare = 0.5;  // of the host's idle limit: an answer's way and a slow moment fit besides
 constexpr std::size_t kReplyElements = 4;
+constexpr std::size_t kKeptRequest = 4096;
 
 // Where a reply holds a host's word: the value, the figures on use, the load report.
 enum : std::size_t { kValue = 0, kReport = 2, kLeastWords = 1 };
@@ -177,6 +178,8 @@
     owner_.ended(attempt, outcome, value, report);
     if (closed_) return;
     if (!clean || !pool_->open || pool_->idle.size() >= owner_.limits_.idle_per_host) return close();
+    if (request_.capacity() > kKeptRequest) std::string().swap(request_);  // or idle links hoard old bodies
+    written_ = request_.size();
     idle_since_ = owner_.clock_.now();
     pool_->idle.push_back(self);
     read();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -157,7 +157,7 @@
   Program program(config(known({target("s-1", host.port()), target("s-2", other.port())}), discovery.port()));
   auto client = program.client();
   client.send(submit("pay", 1));
-  const bool first = host.waiting(50) || !other.waiting(1000);
+  const bool first = Listener::first_of(host, other);
   auto at = (first ? host : other).accept();
   at.command();
   at.reset();
@@ -172,7 +172,7 @@
         config(known({target("s-1", host.port()), target("s-2", other.port())}), discovery.port()));
     auto client = program.client();
     client.send(query(1));
-    const bool first = host.waiting(50) || !other.waiting(1000);
+    const bool first = Listener::first_of(host, other);
     auto at = (first ? host : other).accept();
     at.command();
     at.send(bad);
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -158,6 +158,12 @@
     return Peer(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
   }
   void close() { fd_.reset(); }
+  // Waits until one of the two has a connection; true if it is the first.
+  static bool first_of(const Listener& a, const Listener& b) {
+    pollfd both[] = {{a.fd_.get(), POLLIN, 0}, {b.fd_.get(), POLLIN, 0}};
+    if (::poll(both, 2, kHangMs) <= 0) throw Hung("nobody connected");
+    return (both[0].revents & POLLIN) != 0;
+  }
 
  private:
   Fd fd_;
