--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -206,28 +206,45 @@
   const auto* settings = o.if_contains("settings");
   if (!settings || !settings->is_object())
     throw ConfigError("configuration: 'settings' is missing or not an object");
+  config.settings_text = json::serialize(*settings);
   read_settings_part(*settings, config);
   return config;
 }
 
-Config load_config(const std::function<const char*(const char*)>& variable) {
-  const auto need_variable = [&](const char* name) {
-    const char* text = variable(name);
-    if (!text || !*text) throw ConfigError(std::string(name) + " is not set");
-    return std::string(text);
-  };
-  const auto path = need_variable("EDGE_CONFIG");
+namespace {
+
+using Variable = std::function<const char*(const char*)>;
+
+std::string need_variable(const Variable& variable, const char* name) {
+  const char* text = variable(name);
+  if (!text || !*text) throw ConfigError(std::string(name) + " is not set");
+  return text;
+}
+
+Config read_config_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
   if (!file.good() && !file.eof()) throw ConfigError("EDGE_CONFIG: can't read '" + path + "'");
   boost::system::error_code error;
   const auto value = json::parse(text, error);
   if (error) throw ConfigError("EDGE_CONFIG: '" + path + "' is not JSON: " + error.message());
-  Config config = read_config(value);
-  // The environment is this machine's own word; the file says the same.
-  config.name = need_variable("EDGE_NAME");
-  config.listen = endpoint_of(need_variable("EDGE_LISTEN"), "EDGE_LISTEN");
-  config.discovery = endpoint_of(need_variable("EDGE_DISCOVERY"), "EDGE_DISCOVERY");
+  return read_config(value);
+}
+
+}  // namespace
+
+Config load_config(const Variable& variable) {
+  Config config = reload_config(variable);
+  // At the start the file says the same.
+  config.discovery = endpoint_of(need_variable(variable, "EDGE_DISCOVERY"), "EDGE_DISCOVERY");
+  return config;
+}
+
+Config reload_config(const Variable& variable) {
+  Config config = read_config_file(need_variable(variable, "EDGE_CONFIG"));
+  // The environment is this machine's own word on what does not change while the program runs.
+  config.name = need_variable(variable, "EDGE_NAME");
+  config.listen = endpoint_of(need_variable(variable, "EDGE_LISTEN"), "EDGE_LISTEN");
   return config;
 }
 
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -29,6 +29,7 @@
   std::size_t memory_mb = 192;
   TargetList known;
 
+  std::string settings_text;  // as they came, to tell whether they changed
   Settings settings;
   // What the sockets need of the settings beside the module's own part.
   std::vector<std::string> class_names, plan_names, zones, kinds, report_names;
@@ -41,5 +42,8 @@
 Config read_config(const boost::json::value& json);
 // `variable` gives an environment variable's text, or null.
 Config load_config(const std::function<const char*(const char*)>& variable);
+// The file again, while the program runs. Danger: the environment is as old as the process, so here the file
+// alone says where discovery is.
+Config reload_config(const std::function<const char*(const char*)>& variable);
 
 }  // namespace thistlepond::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <chrono>
 #include <exception>
+#include <optional>
+#include <utility>
 
 #include "log.h"
 
@@ -21,7 +23,8 @@
 namespace {
 
 constexpr auto kConnectWithin = 1s;
-constexpr auto kSilent = 5s;  // a live watch sends a line every 2 s
+constexpr auto kSilent = 5s;    // a live watch sends a line every 2 s
+constexpr auto kCatchUp = 10s;  // by then two agents that tell of the same fleet agree
 constexpr std::chrono::milliseconds kFirstPause = 50ms, kLongestPause = 1000ms;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
@@ -96,48 +99,115 @@
   return list;
 }
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::uint64_t seed,
-                     DiscoveryEvents& events)
-    : io_(io), at_(at), random_(seed), events_(events) {}
+// One address, watched until it is dropped.
+class Discovery::Watch : public std::enable_shared_from_this<Watch> {
+ public:
+  // `version`: what is known already of this address's list; nothing if it must say all of it first.
+  Watch(Discovery& owner, const tcp::endpoint& at, std::optional<std::uint64_t> version)
+      : owner_(owner), at_(at), version_(version), pause_timer_(owner.io_) {}
 
-void Discovery::start(std::uint64_t known_version) {
-  version_ = known_version;
-  asio::co_spawn(io_, run(), asio::detached);
-}
+  void start() { asio::co_spawn(owner_.io_, run(shared_from_this()), asio::detached); }
+
+  // Nothing is heard from it any more, and it does not come back.
+  void drop() {
+    dropped_ = true;
+    pause_timer_.cancel();
+    if (stream_) stream_->close();
+  }
+  bool dropped() const { return dropped_; }
+  // A watch that is about to be replaced is not begun again: its address takes no new connections.
+  void let_end() { last_ = true; }
+  void ask_for_all() {
+    version_.reset();
+    if (stream_) stream_->close();
+  }
+  const tcp::endpoint& at() const { return at_; }
 
-asio::awaitable<void> Discovery::run() {
-  asio::steady_timer timer(io_);
+ private:
+  asio::awaitable<void> run(std::shared_ptr<Watch> self);
+  asio::awaitable<void> fetch();
+  asio::awaitable<void> follow();
+  void take_lines(std::string& text);
+  void take_list(std::string_view text);
+
+  Discovery& owner_;
+  tcp::endpoint at_;
+  std::optional<std::uint64_t> version_;
+  asio::steady_timer pause_timer_;
+  beast::tcp_stream* stream_ = nullptr;  // the one in use
+  bool heard_ = false;                   // this time it has said something that could be read
+  bool dropped_ = false, last_ = false;
+};
+
+asio::awaitable<void> Discovery::Watch::run([[maybe_unused]] std::shared_ptr<Watch> self) {
   auto pause = kFirstPause;
-  for (;;) {
+  while (!dropped_) {
     heard_ = false;
     std::string why;
     try {
-      co_await watch();
+      if (!version_) co_await fetch();
+      if (!dropped_) co_await follow();
       why = "ended";
     } catch (const boost::system::system_error& error) {
       why = error.code().message();
     } catch (const std::exception& error) {
       why = error.what();
     }
+    if (dropped_ || last_) break;
     log_line("the watch of discovery broke", why);
     // The pause is drawn, so that gateways that lost discovery together do not come back together.
     pause = heard_ ? kFirstPause : std::min(pause * 2, kLongestPause);
-    timer.expires_after(pause / 2 +
-                        std::chrono::milliseconds(random_() % static_cast<unsigned>(pause.count())));
-    co_await timer.async_wait(asio::use_awaitable);
+    pause_timer_.expires_after(
+        pause / 2 + std::chrono::milliseconds(owner_.random_() % static_cast<unsigned>(pause.count())));
+    boost::system::error_code stopped;
+    co_await pause_timer_.async_wait(asio::redirect_error(asio::use_awaitable, stopped));
   }
 }
 
-asio::awaitable<void> Discovery::watch() {
-  beast::tcp_stream stream(io_);
+namespace {
+
+// Where a coroutine keeps its stream while others may want to close it.
+class Shown {
+ public:
+  Shown(beast::tcp_stream*& place, beast::tcp_stream& stream) : place_(place) { place_ = &stream; }
+  ~Shown() { place_ = nullptr; }
+  Shown(const Shown&) = delete;
+  Shown& operator=(const Shown&) = delete;
+
+ private:
+  beast::tcp_stream*& place_;
+};
+
+asio::awaitable<void> ask(beast::tcp_stream& stream, const tcp::endpoint& at, const std::string& target) {
   stream.expires_after(kConnectWithin);
-  co_await stream.async_connect(at_, asio::use_awaitable);
-  http::request<http::empty_body> ask(http::verb::get,
-                                      "/api/targets?follow=1&since=" + std::to_string(version_), 11);
-  ask.set(http::field::host, at_.address().to_string() + ":" + std::to_string(at_.port()));
+  co_await stream.async_connect(at, asio::use_awaitable);
+  http::request<http::empty_body> request(http::verb::get, target, 11);
+  request.set(http::field::host, at.address().to_string() + ":" + std::to_string(at.port()));
   stream.expires_after(kSilent);
-  co_await http::async_write(stream, ask, asio::use_awaitable);
+  co_await http::async_write(stream, request, asio::use_awaitable);
+}
+
+}  // namespace
+
+// The whole list, where no version is known that this address would understand.
+asio::awaitable<void> Discovery::Watch::fetch() {
+  beast::tcp_stream stream(owner_.io_);
+  const Shown shown(stream_, stream);
+  co_await ask(stream, at_, "/api/targets");
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMostLine);
+  co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+  if (dropped_) co_return;
+  if (parser.get().result() != http::status::ok)
+    throw ListError("discovery answered another status than 200");
+  take_list(parser.get().body());
+}
 
+asio::awaitable<void> Discovery::Watch::follow() {
+  beast::tcp_stream stream(owner_.io_);
+  const Shown shown(stream_, stream);
+  co_await ask(stream, at_, "/api/targets?follow=1&since=" + std::to_string(version_.value_or(0)));
   beast::flat_buffer buffer;
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
@@ -153,6 +223,7 @@
     stream.expires_after(kSilent);
     boost::system::error_code error;
     co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (dropped_) co_return;
     if (error && error != http::error::need_buffer) throw boost::system::system_error(error);
     text.append(part.data(), part.size() - parser.get().body().size);
     take_lines(text);
@@ -162,25 +233,94 @@
 
 // Hands on the whole lines of `text` and leaves the rest. One that can't be read ends the watch: what it may
 // have changed would be missing, so the next watch asks for all since the version before it.
-void Discovery::take_lines(std::string& text) {
+void Discovery::Watch::take_lines(std::string& text) {
   std::size_t from = 0;
-  for (std::size_t end; (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
+  for (std::size_t end; !dropped_ && (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
     const auto line = std::string_view(text).substr(from, end - from);
     if (line.find_first_not_of(" \r") == std::string_view::npos) {
       heard_ = true;
       continue;
     }
-    TargetList list;
-    try {
-      list = read_targets(json::parse(line));
-    } catch (const std::exception& error) {
-      throw ListError(std::string("malformed line: ") + error.what());
-    }
-    heard_ = true;
-    version_ = list.version;
-    events_.on_targets(list);
+    take_list(line);
   }
   text.erase(0, from);
 }
 
+void Discovery::Watch::take_list(std::string_view text) {
+  TargetList list;
+  try {
+    list = read_targets(json::parse(text));
+  } catch (const std::exception& error) {
+    throw ListError(std::string("malformed line: ") + error.what());
+  }
+  heard_ = true;
+  const auto version = list.version;
+  owner_.heard(*this, std::move(list));
+  version_ = version;
+}
+
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::uint64_t seed,
+                     DiscoveryEvents& events)
+    : io_(io), at_(at), random_(seed), events_(events), recheck_(io) {}
+
+Discovery::~Discovery() {
+  for (const auto& watch : {watch_, next_}) {
+    if (watch) watch->drop();
+  }
+}
+
+void Discovery::start(std::uint64_t known_version) {
+  watch_ = std::make_shared<Watch>(*this, at_, known_version);
+  watch_->start();
+}
+
+void Discovery::move(const tcp::endpoint& at) {
+  if (!next_ && watch_->at() == at) return;
+  if (next_) next_->drop();
+  watch_->let_end();
+  next_ = std::make_shared<Watch>(*this, at, std::nullopt);
+  next_->start();
+}
+
+void Discovery::heard(Watch& from, TargetList list) {
+  if (next_.get() == &from) {
+    watch_->drop();
+    watch_ = std::exchange(next_, nullptr);
+    if (keep_farewells(list)) {
+      // The two disagree. Whoever lagged has caught up by then, and the whole list is asked for again.
+      recheck_.expires_after(kCatchUp);
+      recheck_.async_wait([this](boost::system::error_code error) {
+        if (!error) watch_->ask_for_all();
+      });
+    }
+  }
+  note_farewells(list);
+  events_.on_targets(list);
+}
+
+// Danger: the new address may lag behind the old one and still call active what drains. A drain that was told
+// stands, for as long as an agent may lag; a new process of that host is another matter.
+bool Discovery::keep_farewells(TargetList& list) {
+  bool any = false;
+  for (auto& t : list.targets) {
+    const auto it = farewells_.find(t.uid);
+    if (it == farewells_.end() || it->second.boot_ms != t.boot_ms || t.state >= it->second.state) continue;
+    t.state = it->second.state;
+    any = true;
+  }
+  return any;
+}
+
+void Discovery::note_farewells(const TargetList& list) {
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(farewells_, [&](const auto& entry) { return now - entry.second.told > kCatchUp; });
+  for (const auto& t : list.targets) {
+    if (t.state == TargetState::kActive) {
+      farewells_.erase(t.uid);
+    } else {
+      farewells_[t.uid] = {t.boot_ms, t.state, now};
+    }
+  }
+}
+
 }  // namespace thistlepond::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -3,11 +3,14 @@
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <chrono>
 #include <cstdint>
+#include <memory>
 #include <random>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace thistlepond::net {
@@ -46,24 +49,38 @@
 
 // Watches until the program ends: a watch that breaks, falls silent or says what can't be read is begun anew,
 // from the version known last, after a pause that grows.
+//
+// After `move` the list comes from another address. The old watch is heard until the new one has given its
+// whole list, so that no drain told meanwhile is lost; then it is dropped.
 class Discovery {
  public:
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, std::uint64_t seed,
             DiscoveryEvents& events);
+  ~Discovery();
 
   void start(std::uint64_t known_version);
+  void move(const boost::asio::ip::tcp::endpoint& at);
 
  private:
-  boost::asio::awaitable<void> run();
-  boost::asio::awaitable<void> watch();
-  void take_lines(std::string& text);
+  class Watch;
+  struct Farewell {  // the word of some watch that a host leaves or has left
+    double boot_ms = 0;
+    TargetState state = TargetState::kLeaving;
+    std::chrono::steady_clock::time_point told;
+  };
+
+  void heard(Watch& from, TargetList list);
+  bool keep_farewells(TargetList& list);
+  void note_farewells(const TargetList& list);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint at_;
   std::mt19937_64 random_;
   DiscoveryEvents& events_;
-  std::uint64_t version_ = 0;
-  bool heard_ = false;  // this watch has said something that could be read
+  std::shared_ptr<Watch> watch_;  // the one that is believed
+  std::shared_ptr<Watch> next_;   // takes its place with its first list
+  std::unordered_map<std::string, Farewell> farewells_;
+  boost::asio::steady_timer recheck_;
 };
 
 }  // namespace thistlepond::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -523,6 +523,20 @@
   });
 }
 
+// ---- a new configuration ----
+
+void Gateway::reload(const Config& config) {
+  if (config.discovery != config_.discovery) {
+    config_.discovery = config.discovery;
+    discovery_.move(config.discovery);
+    log_line("discovery is now at", config.discovery.address().to_string());
+  }
+  if (config.settings_text != config_.settings_text || config.sockets != config_.sockets ||
+      config.memory_mb != config_.memory_mb || config.listen != config_.listen) {
+    log_line("the new configuration changes what needs a restart: kept as it was");
+  }
+}
+
 // ---- the stop ----
 
 void Gateway::stop() {
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -32,6 +32,8 @@
   void start();
   // A planned stop: serves on for as long as clients may still come, then settles all that it has taken.
   void stop();
+  // A new configuration: what it names anew is used from now on, and work in flight goes on.
+  void reload(const Config& config);
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
  private:
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -43,12 +43,29 @@
   }
 }
 
+const char* variable(const char* name) { return std::getenv(name); }
+
+// SIGHUP: the file has changed. Danger: a file that can't be read must not end a gateway that serves.
+void await_reload(boost::asio::signal_set& hangups, Gateway& gateway) {
+  hangups.async_wait([&](boost::system::error_code error, int) {
+    if (error) return;
+    await_reload(hangups, gateway);
+    try {
+      gateway.reload(reload_config(variable));
+      log_line("configuration read again");
+    } catch (const std::exception& bad) {
+      log_line("the new configuration is bad, the old one is kept", bad.what());
+    }
+  });
+}
+
 }  // namespace
 
 int main() {
   try {
     std::signal(SIGPIPE, SIG_IGN);
-    const Config config = load_config([](const char* name) -> const char* { return std::getenv(name); });
+    std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
+    const Config config = load_config(variable);
     raise_descriptor_limit(config.sockets);
     boost::asio::io_context io(1);
     Clock clock;
@@ -57,6 +74,8 @@
     signals.async_wait([&gateway](boost::system::error_code error, int) {
       if (!error) gateway.stop();
     });
+    boost::asio::signal_set hangups(io, SIGHUP);
+    await_reload(hangups, gateway);
     gateway.start();
     const auto at = gateway.address();
     log_line("ready: " + config.name, at.address().to_string() + ":" + std::to_string(at.port()));
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -287,19 +287,6 @@
 
 // ---- discovery ----
 
-std::string watch_head(Peer& peer) {
-  const auto first = peer.line();
-  while (!peer.line().empty()) {
-  }
-  peer.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
-  return first;
-}
-void chunk(Peer& peer, const std::string& text) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-  peer.send(size + text + "\r\n");
-}
-
 TEST(Discovery, ARestartServesFromTheKnownListAndWatchesFromItsVersion) {
   Listener host, discovery;
   Program program(config(known({target("s-1", host.port())}), discovery.port()));
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -239,6 +239,10 @@
   pid_t pid() const { return pid_; }
   Peer client() const { return Peer::connect(port_); }
   void terminate() { ::kill(pid_, SIGTERM); }
+  void reload(const std::string& text) {
+    std::ofstream(path_) << text;
+    ::kill(pid_, SIGHUP);
+  }
   // The log's next line that holds `text`.
   std::string log_until(const std::string& text) {
     for (;;) {
@@ -271,6 +275,27 @@
   int port_ = 0;
 };
 
+// An agent's side of a watch: its head is answered, the first line comes back.
+inline std::string watch_head(Peer& peer) {
+  const auto first = peer.line();
+  while (!peer.line().empty()) {
+  }
+  peer.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+  return first;
+}
+inline void chunk(Peer& peer, const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  peer.send(size + text + "\r\n");
+}
+// The whole list, asked for once.
+inline void whole_list(Peer& peer, const std::string& text) {
+  EXPECT_EQ(peer.line().substr(0, 22), "GET /api/targets HTTP/");
+  while (!peer.line().empty()) {
+  }
+  peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+}
+
 inline std::string command(const std::vector<std::string>& words) {
   std::string text = "*" + std::to_string(words.size()) + "\r\n";
   for (const auto& w : words) text += "$" + std::to_string(w.size()) + "\r\n" + w + "\r\n";
--- /dev/null
+++ b/tests/reload_test.cpp
@@ -0,0 +1,76 @@
+// A new configuration under load: SIGHUP, and what discovery tells at two addresses meanwhile.
+#include <string>
+
+#include "net_support.h"
+
+namespace thistlepond::net::testing {
+namespace {
+
+std::string at_discovery(boost::json::object conf, const Listener& discovery) {
+  conf["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
+  return boost::json::serialize(conf);
+}
+
+TEST(Reload, ABadFileIsLoggedTheOldOneKeptAndWorkInFlightGoesOn) {
+  Listener host, discovery;
+  const auto conf = config(list(7, true, {target("s-1", host.port())}), discovery.port());
+  Program program(conf);
+  auto client = program.client();
+  client.send(query(1));
+  auto at = host.accept();
+  at.command();
+  for (const std::string bad : {"", "{", "{}", R"({"name":"n0"})"}) {
+    program.reload(bad);
+    program.log_until("the old one is kept");
+  }
+  program.reload(boost::json::serialize(conf));
+  program.log_until("configuration read again");
+  at.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+}
+
+TEST(Reload, ANewAddressIsWatchedAndTheOldOneHeardUntilTheNewHasToldAll) {
+  Listener first, second, third, old_agent, new_agent;
+  const auto conf = config(list(7, true, {target("s-1", first.port())}), old_agent.port());
+  Program program(conf);
+  auto before = old_agent.accept();
+  watch_head(before);
+  program.reload(at_discovery(conf, new_agent));
+  auto fetch = new_agent.accept();  // and nothing yet: the old one is still heard
+  chunk(before,
+        list(8, false, {target("s-1", first.port(), "leaving"), target("s-2", second.port())}) + "\n");
+  auto client = program.client();
+  for (bool told = false; !told;) {  // until that line has come through
+    client.send(query(1));
+    if (Listener::first_of(first, second)) {
+      auto at = first.accept();
+      at.command();
+      at.send("-BUSY\r\n");
+      at.ends();
+      client.reply();
+      continue;
+    }
+    auto at = second.accept();
+    at.command();
+    at.send(served("two"));
+    EXPECT_EQ(client.reply(), "two");
+    told = true;
+  }
+  // Versions of the two do not agree, and the new one still takes the host that leaves for active.
+  whole_list(fetch, list(3, true, {target("s-1", first.port()), target("s-3", third.port())}));
+  auto after = new_agent.accept();
+  EXPECT_NE(watch_head(after).find("since=3 "), std::string::npos);
+  EXPECT_TRUE(before.ends());
+  client.send(query(2));
+  auto at = third.accept();
+  for (unsigned n = 2; n < 12; ++n) {
+    EXPECT_EQ(at.command().at(2), id(n));
+    at.send(served("three"));
+    EXPECT_EQ(client.reply(), "three");
+    client.send(query(n + 1));
+  }
+  EXPECT_FALSE(first.waiting(0));
+}
+
+}  // namespace
+}  // namespace thistlepond::net::testing
