--- a/src/control.cpp
+++ b/src/control.cpp
@@ -48,11 +48,14 @@
 constexpr double kColdShare = 0.6;
 // What a gateway takes a customer for (see beyond_worth).
 constexpr double kDemandRequests = 8;  // that a slice lets expect in the memory of demand: enough to tell
-constexpr Ms kDemandMemoryMs = 8000;   // and at least so long: less than a customer's moves take
+constexpr Ms kDemandMemoryMs = 1500;   // and at least so long: less than a customer's moves take
 constexpr double kPriorRequests =
     0.4;                            // seen of a usual customer before any is: one request soon outweighs it
 constexpr double kUsualUse = 1.25;  // slices asked for by the customer of a request drawn at random
-constexpr double kRareSkew = 1.5;   // slices: as likely a heavy customer as one that crowds this gateway
+constexpr double kRareSkew =
+    1.5;  // slices, of two: as likely a heavy customer as one that crowds this gateway
+constexpr double kMoreSkew = 1.0;          // and so many more for each further slice of the set
+constexpr double kMostSkewed = 4;          // gateways: beyond, crowding one of them grows no further
 constexpr std::size_t kRankSamples = 512;  // requests that worth is ranked among
 constexpr Ms kDoneMemoryMs = 1500;         // completions of hosts: short, as a stall must show
 constexpr double kHopelessShare = 0.9;     // of the aim: a further attempt later than this earns nothing
@@ -273,6 +276,14 @@
     return std::max(kTickMs, memory(c) * (1 - faded(now - born, memory(c))));
   }
 
+  // Danger: with one bound for all, customers inside their quota were refused where their sets are large: of
+  // two gateways one can get twice its part of a customer, of four four times. A slice of less than a request
+  // tells too little to go by that.
+  double rare_skew(const Customer& c, const Request& q) const {
+    if (c.parent.volume < q.units) return kRareSkew;
+    return kRareSkew + kMoreSkew * std::clamp(c.spread - 2, 0.0, kMostSkewed - 2);
+  }
+
   // The worth expected of letting a customer on whose slice is dry or below one request, in parts of the
   // request's worth. Danger: its other slices may lie idle, or be as busy, and one gateway of hundreds sees a
   // request or two. So what it asked here is drawn towards a usual customer's use, the less the slice lets
@@ -286,7 +297,7 @@
       const double usual = kPriorRequests * q.units * 1000 / exposure(c);
       const double before = std::max(c.demand - (q.repeat ? 0 : q.units), 0.0) * 1000 / exposure(c);
       const double asks = (before + kUsualUse * usual) / (c.parent.rate + usual);
-      chance = 1 / (1 + std::pow(asks / kRareSkew, 3));
+      chance = 1 / (1 + std::pow(asks / rare_skew(c, q), 3));
     }
     return chance + (1 - chance) * (p.beyond_earns - p.overrun_cost);
   }
--- a/tests/symptoms_test.cpp
+++ b/tests/symptoms_test.cpp
@@ -97,6 +97,30 @@
   EXPECT_GE(passed_in(g, 1000, 100, 160), 90) << "80 is what the slice alone gives";
 }
 
+// Days at four gateways: two thirds of a customer's requests at one of its four are no rare skew, while at
+// one of two so many slices' worth can only be a heavy customer.
+TEST(Worth, ALargerSetMayBeMoreSkewed) {
+  for (const double spread : {2.0, 4.0}) {
+    auto s = sold();
+    s.gateways = 4;
+    Gateway g(s);
+    const double slice = s.plans[0].quota_rate / spread;
+    const Ms gap = 1000 / (2.4 * slice);
+    int passed = 0;
+    for (RequestId id = 1; id <= 200; ++id) {
+      const bool sent = g.ask(id, 1, spread);
+      passed += id > 100 && sent;
+      g.answer_all();
+      g.wait(gap);
+    }
+    if (spread > 2) {
+      EXPECT_GE(passed, 90);
+    } else {
+      EXPECT_LE(passed, 60);
+    }
+  }
+}
+
 // Incidents i7805d0, i5af206: three times the quota here must not pass as skew.
 TEST(Worth, AHeavyCustomerIsNotTakenForASkewedOne) {
   Gateway g(sold());
