Clients that are silent, half, idle or only mistaken are closed in time and keep nobody out; an open id is refused

Now each is closed within 2.5 s, many silent ones go before idle usual ones, eight mistakes end a connection, and unread answers and buffers of commands are bounded by an eighth of the memory limit each. The accept looked for room before anybody had come and would have closed the last newcomer: it now waits for one.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,11 +13,18 @@
 
 namespace {
 
-constexpr std::size_t kMostPending = 64;                    // commands of one connection not yet answered
-constexpr std::size_t kMostUnsent = 256 * 1024;             // answers of one connection not yet taken
-constexpr std::size_t kMostUnsentInAll = 24 * 1024 * 1024;  // of all: part of the memory limit
-constexpr Ms kStalled = 10'000;  // a client that takes in nothing for so long, or leaves a command half sent
-constexpr Ms kLinger = 500;      // after the last answer, for the client to read it before a reset could
+constexpr std::size_t kMostPending = 64;         // commands of one connection not yet answered
+constexpr std::size_t kMostUnsent = 256 * 1024;  // answers of one connection not yet taken
+constexpr Ms kStalled = 10'000;                  // a client that takes in nothing of its answers for so long
+// A client is owed a command, an error or a close within 3 s of its connecting, and half a command may be
+// large and slow. What is idle may go after 2 s; clients that still come use their connections more often.
+constexpr Ms kFirstCommand = 2'300;
+constexpr std::size_t kManySilent = 4;  // one of so many: more are no usual clients that have just come
+constexpr Ms kWholeCommand = 2'500;
+constexpr Ms kIdle = 2'300;
+constexpr std::size_t kMostMistakes = 8;  // of one connection; then it is closed, or its errors eat the CPU
+constexpr Ms kLinger = 500;  // after the last answer, for the client to read it before a reset could
+constexpr std::size_t kLargeHalf = 16 * 1024;  // less of a command is always kept until its rest comes
 constexpr auto kSweep = std::chrono::milliseconds(250);
 constexpr auto kAcceptAgain = std::chrono::milliseconds(5);
 
@@ -28,6 +35,7 @@
   Connection(Clients& owner, std::uint64_t id, tcp::socket socket)
       : owner_(owner), id_(id), socket_(std::move(socket)), reader_(resp::Limits{}, true) {
     touch();
+    half_since_ = moved_;
   }
 
   void start() { read(); }
@@ -55,7 +63,24 @@
     }
   }
 
+  void reject(std::uint64_t place, std::string_view why) {
+    std::string reply;
+    resp::append_error(reply, why);
+    // Danger: a client that sends nothing but mistakes, as fast as it can, would have the CPU to itself.
+    if (++mistakes_ >= kMostMistakes) broken_ = last_ = true;
+    answer(place, reply);
+  }
+
   bool idle() const { return slots_.empty() && out_.empty() && reader_.empty() && !lingering_; }
+  // Has not yet said anything whole, and nothing is owed on it.
+  bool silent() const { return first_ == 0 && slots_.empty() && !lingering_; }
+  // How gladly this one is closed for a newcomer; 0: never, as something is owed on it.
+  int spare() const {
+    if (!slots_.empty()) return 0;
+    if (lingering_) return 3;  // done with
+    if (silent()) return 1;
+    return idle() ? 2 : out_.empty() ? 1 : 0;
+  }
   std::uint64_t used() const { return used_; }
 
   void wind_down() {
@@ -66,11 +91,21 @@
     }
   }
 
+  // Danger: clients that say nothing, half of something or nothing more would fill the table for good.
   void sweep(Ms now) {
-    const bool half_read = !reader_.empty() && !held_back_ && slots_.empty();
-    const bool unread = !out_.empty();
-    if (lingering_ ? now - moved_ > kLinger : (half_read || unread) && now - moved_ > kStalled)
-      return close();
+    error_code ignored;
+    if (closed_) return;
+    if (lingering_) {
+      if (now - moved_ > kLinger) close();
+      return;
+    }
+    if (!out_.empty()) {
+      if (now - moved_ > kStalled) return close();
+    } else if (slots_.empty() && !held_back_ && socket_.available(ignored) == 0) {
+      const bool silent = first_ == 0 && now - half_since_ > kFirstCommand;
+      const bool half = !reader_.empty() && now - half_since_ > kWholeCommand;
+      if (silent || half || (reader_.empty() && now - moved_ > kIdle)) return close();
+    }
     if (held_back_) go_on();
   }
 
@@ -80,6 +115,7 @@
     error_code ignored;
     socket_.close(ignored);
     owner_.unsent_ -= out_.size();
+    owner_.buffered_ -= std::exchange(buffered_, 0);
     for (const auto& slot : slots_) owner_.unsent_ -= slot.counted;
     const auto self = shared_from_this();
     owner_.connections_.erase(id_);
@@ -113,13 +149,14 @@
   // program is killed for memory. So no more commands are taken in from one that has much unread.
   bool must_hold_back() const {
     return slots_.size() >= kMostPending || out_.size() - sent_ >= kMostUnsent ||
-           (owner_.unsent_ >= kMostUnsentInAll && !out_.empty());
+           (owner_.unsent_ >= owner_.most_unsent_ && !out_.empty());
   }
 
   void read() {
     if (closed_ || reading_) return;
     reading_ = true;
     const auto space = reader_.space();
+    count_buffer();
     socket_.async_read_some(asio::buffer(space.data(), space.size()),
                             [self = shared_from_this()](error_code error, std::size_t bytes) {
                               self->reading_ = false;
@@ -133,10 +170,16 @@
     // Bytes that come in are no progress of a client that does not read its answers.
     if (out_.empty() && slots_.empty() && !lingering_) touch();
     if (lingering_ || broken_) return read();  // read and dropped, so that closing sends no reset
+    if (reader_.empty() && (first_ > 0 || !slots_.empty())) half_since_ = owner_.clock_.now();
     reader_.commit(bytes);
     go_on();
   }
 
+  void count_buffer() {
+    owner_.buffered_ += reader_.held() - buffered_;
+    buffered_ = reader_.held();
+  }
+
   // From the loop, as an answer may come from inside the module.
   void go_on_later() {
     if (resuming_ || must_hold_back()) return;
@@ -162,13 +205,18 @@
     const std::unique_ptr<bool, void (*)(bool*)> unset(&parsing_, [](bool* flag) { *flag = false; });
     while (!closed_ && !broken_ && !must_hold_back()) {
       const auto progress = reader_.next(frame_);
-      if (progress == resp::Progress::kMore) break;
+      const bool too_much = progress == resp::Progress::kMore && buffered_ > kLargeHalf &&
+                            owner_.buffered_ > owner_.most_buffered_;
+      if (progress == resp::Progress::kMore && !too_much) break;
+      if (progress == resp::Progress::kFrame) half_since_ = owner_.clock_.now();
       slots_.emplace_back();
       const Ticket ticket{id_, first_ + slots_.size() - 1};
-      if (progress == resp::Progress::kBroken) {
+      // Danger: many halves of large commands would fill the memory limit.
+      if (too_much || progress == resp::Progress::kBroken) {
         broken_ = last_ = true;
         std::string reply;
-        resp::append_error(reply, std::string("ERR Protocol error: ") + reader_.fault());
+        resp::append_error(
+            reply, std::string("ERR Protocol error: ") + (too_much ? "too much half sent" : reader_.fault()));
         answer(ticket.place, reply);
         break;
       }
@@ -237,18 +285,22 @@
   std::uint64_t first_ = 0;  // place of the first of them
   std::string out_;
   std::size_t sent_ = 0;
-  Ms moved_ = 0;  // last progress
+  Ms moved_ = 0;       // last progress
+  Ms half_since_ = 0;  // since when the next command is awaited or half here
+  std::size_t buffered_ = 0, mistakes_ = 0;
   std::uint64_t used_ = 0;
   bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
   bool parsing_ = false, held_back_ = false, resuming_ = false, broken_ = false, lingering_ = false;
   bool last_ = false;  // close when nothing is owed any more
 };
 
-Clients::Clients(asio::io_context& io, Clock& clock, ClientEvents& events, std::size_t most_connections)
+Clients::Clients(asio::io_context& io, Clock& clock, ClientEvents& events, const ClientLimits& limits)
     : io_(io),
       clock_(clock),
       events_(events),
-      most_(most_connections),
+      most_(limits.connections),
+      most_unsent_(limits.unsent),
+      most_buffered_(limits.buffered),
       acceptor_(io),
       retry_accept_(io),
       sweep_timer_(io) {}
@@ -266,28 +318,34 @@
 
 void Clients::accept() {
   if (winding_down_ || !acceptor_.is_open()) return;
-  // Danger: a connection that the kernel has accepted counts as taken, even if nobody serves it. At the cap
-  // an idle client makes room; where none is idle, the next one waits in the kernel until one is done.
-  if (connections_.size() >= most_ && !close_an_idle_one()) {
-    retry_accept_.expires_after(kAcceptAgain);
-    retry_accept_.async_wait([this](error_code error) {
-      if (!error) accept();
-    });
-    return;
-  }
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted || winding_down_) return;
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+    if (!error && !winding_down_) accept_one();
+  });
+}
+
+// Danger: a connection that the kernel has accepted counts as taken, even if nobody serves it. At the cap a
+// client that is not missed makes room, but not before somebody has come; where none can go, the newcomer
+// waits in the kernel until one is done.
+void Clients::accept_one() {
+  error_code error;
+  tcp::socket socket(io_);
+  if (connections_.size() < most_ || make_room()) {
+    acceptor_.accept(socket, error);
     if (!error) {
       accepted(std::move(socket));
       return accept();
     }
-    // Out of descriptors, or the client has left again: the listener itself goes on.
+    if (error == asio::error::would_block || error == asio::error::try_again ||
+        error == asio::error::connection_aborted) {
+      return accept();  // it has left again
+    }
+    // Out of descriptors: the listener itself goes on.
     log_line("accept failed", error.message());
-    close_an_idle_one();
-    retry_accept_.expires_after(kAcceptAgain);
-    retry_accept_.async_wait([this](error_code stopped) {
-      if (!stopped) accept();
-    });
+    make_room();
+  }
+  retry_accept_.expires_after(kAcceptAgain);
+  retry_accept_.async_wait([this](error_code stopped) {
+    if (!stopped) accept();
   });
 }
 
@@ -306,13 +364,24 @@
   if (it != connections_.end()) it->second->answer(ticket.place, reply);
 }
 
-bool Clients::close_an_idle_one() {
-  std::shared_ptr<Connection> oldest;
+void Clients::reject(Ticket ticket, std::string_view why) {
+  const auto it = connections_.find(ticket.connection);
+  if (it != connections_.end()) it->second->reject(ticket.place, why);
+}
+
+// Danger: if only idle clients made room, those that say nothing or half of something would keep others out.
+// Where they are many the oldest of them goes first: a usual client sends at once, so its turn does not come.
+bool Clients::make_room() {
+  std::shared_ptr<Connection> worst, silent;
+  std::size_t silent_ones = 0;
   for (const auto& [id, c] : connections_) {
-    if (c->idle() && (!oldest || c->used() < oldest->used())) oldest = c;
+    const int spare = c->spare();
+    if (spare == 0) continue;
+    if (c->silent() && ++silent_ones && (!silent || c->used() < silent->used())) silent = c;
+    if (!worst || spare > worst->spare() || (spare == worst->spare() && c->used() < worst->used())) worst = c;
   }
-  if (!oldest) return false;
-  oldest->close();
+  if (!worst) return false;
+  (silent_ones * kManySilent > most_ ? silent : worst)->close();
   return true;
 }
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -75,12 +75,6 @@
                     [](char x, char y) { return (x >= 'a' && x <= 'z' ? x - 'a' + 'A' : x) == y; });
 }
 
-std::string error_reply(std::string_view text) {
-  std::string reply;
-  resp::append_error(reply, text);
-  return reply;
-}
-
 PoolLimits pool_limits(const Config& config) {
   PoolLimits limits;
   const auto sockets = config.sockets > kSpareSockets ? config.sockets - kSpareSockets : 2;
@@ -91,9 +85,13 @@
   return limits;
 }
 
-std::size_t most_clients(const Config& config) {
+ClientLimits client_limits(const Config& config) {
+  ClientLimits limits;
   const auto sockets = config.sockets > kSpareSockets ? config.sockets - kSpareSockets : 2;
-  return std::max<std::size_t>(1, sockets - pool_limits(config).connections);
+  limits.connections = std::max<std::size_t>(1, sockets - pool_limits(config).connections);
+  // Bodies have an eighth too and as much again for their copies: the sum stays well under the limit.
+  limits.unsent = limits.buffered = config.memory_mb * 1024 * 1024 / 8;
+  return limits;
 }
 
 }  // namespace
@@ -106,6 +104,7 @@
 
 struct Gateway::Parsed {
   Request request;
+  std::uint64_t wire_id = 0;
   Ms wait = 0;
   Order order;
 };
@@ -115,13 +114,13 @@
       clock_(clock),
       config_(std::move(config)),
       control_(config_.settings, config_.seed),
-      clients_(io, clock, *this, most_clients(config_)),
+      clients_(io, clock, *this, client_limits(config_)),
       hosts_(io, clock, *this, pool_limits(config_)),
       discovery_(io, config_.discovery, config_.seed, *this),
       on_stopped_(std::move(on_stopped)),
       timer_(io),
       stop_timer_(io) {
-  hosts_.make_room = [this] { return clients_.close_an_idle_one(); };
+  hosts_.make_room = [this] { return clients_.make_room(); };
 }
 Gateway::~Gateway() = default;
 
@@ -186,7 +185,7 @@
 
 std::uint64_t Gateway::on_command(Ticket ticket, std::span<const resp::Item> words) {
   if (words.empty()) {
-    clients_.answer(ticket, "-ERR empty command\r\n");
+    clients_.reject(ticket, "ERR empty command");
     return 0;
   }
   const auto verb = words[0].text;
@@ -205,7 +204,7 @@
     clients_.answer(ticket, reply);
     return 0;
   }
-  clients_.answer(ticket, error_reply("ERR unknown command '" + std::string(verb.substr(0, 64)) + "'"));
+  clients_.reject(ticket, "ERR unknown command '" + std::string(verb.substr(0, 64)) + "'");
   return 0;
 }
 
@@ -213,9 +212,8 @@
 const char* Gateway::parse(std::span<const resp::Item> words, Parsed& parsed) const {
   if (words.size() != 4 && words.size() != 5) return "wrong number of arguments";
   Request& q = parsed.request;
-  std::uint64_t wire_id = 0;
   if (!read_hex(words[1].text, q.customer) || q.customer >= kCustomers) return "bad customer";
-  if (!read_hex(words[2].text, wire_id)) return "bad id";
+  if (!read_hex(words[2].text, parsed.wire_id)) return "bad id";
 
   unsigned seen = 0;
   std::uint32_t first = 0;
@@ -272,7 +270,13 @@
 std::uint64_t Gateway::take(Ticket ticket, std::span<const resp::Item> words) {
   Parsed parsed;
   if (const char* why = parse(words, parsed)) {
-    clients_.answer(ticket, error_reply(std::string("ERR ") + why));
+    clients_.reject(ticket, std::string("ERR ") + why);
+    return 0;
+  }
+  // Danger: two requests of one id would be one at the hosts, and one's answer could be taken for the
+  // other's.
+  if (open_ids_.contains(parsed.wire_id)) {
+    clients_.reject(ticket, "ERR another open request has this id");
     return 0;
   }
   // Nothing has been sent for it, so a refusal is lawful. An eighth of the memory may be bodies: an attempt
@@ -289,7 +293,8 @@
   parsed.request.id = id;
   parsed.request.expires_at = expires_at;
   held_bytes_ += parsed.order.body.size();
-  asked_.emplace(id, Asked{ticket, std::move(parsed.order), expires_at, false, {}, 0});
+  asked_.emplace(id, Asked{ticket, std::move(parsed.order), expires_at, parsed.wire_id, false, {}, 0});
+  open_ids_.insert(parsed.wire_id);
   ++owed_;
   timers_.push({expires_at, Timer::kExpiry, id});
   try {
@@ -306,6 +311,7 @@
   const auto it = asked_.find(name);
   if (it == asked_.end() || it->second.answered) return;
   it->second.answered = true;
+  open_ids_.erase(it->second.wire_id);
   --owed_;
   control_.on_gone(clock_.now(), name, *this);
   forget_if_done(name);
@@ -429,6 +435,7 @@
   const auto it = asked_.find(id);
   if (it == asked_.end() || it->second.answered) return;
   it->second.answered = true;
+  open_ids_.erase(it->second.wire_id);
   --owed_;
   clients_.answer(it->second.ticket, reply);
   if (it->second.out == 0 && !telling_) forget_if_done(id);
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "clients.h"
@@ -56,6 +57,7 @@
     Ticket ticket;
     Order order;
     Ms expires_at = 0;
+    std::uint64_t wire_id = 0;
     bool answered = false;  // nothing is owed any more
     std::vector<Try> tries;
     std::size_t out = 0;
@@ -121,6 +123,7 @@
   std::function<void()> on_stopped_;
 
   std::unordered_map<RequestId, Asked> asked_;
+  std::unordered_set<std::uint64_t> open_ids_;  // the clients' own, of requests without their final answer
   std::unordered_map<AttemptId, std::pair<RequestId, std::uint32_t>> tries_;
   std::deque<End> ends_;
   bool telling_ = false;
