--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -19,8 +19,10 @@
 
 // A client's time runs from its send: the way here, the answer's way and a busy moment must fit besides.
 constexpr Ms kMargin = 20;
-constexpr Ms kLongestWait = 600'000;  // of a client; more is no sensible time
+constexpr Ms kLongestWait = 600'000;   // of a client; more is no sensible time
+constexpr double kMostReported = 1e5;  // of a figure in a load report; no host holds so many
 constexpr std::size_t kLongestName = 128;
+constexpr Ms kRest = 25;  // noise behind an answer comes with it or in the moment after
 constexpr std::size_t kSpareSockets =
     48;  // standard streams, listener, discovery, epoll and what comes between
 constexpr CustomerId kCustomers = CustomerId{1} << 33;
@@ -81,6 +83,7 @@
   limits.connections = std::max<std::size_t>(1, sockets * 2 / 5);
   limits.per_host = std::min(limits.per_host, limits.connections);
   limits.idle_limit = config.conn_idle_ms;
+  limits.rest = kRest;
   limits.connect_timeout = config.connect_timeout_ms;
   return limits;
 }
@@ -456,7 +459,9 @@
     text.remove_prefix(std::min(field.size() + 1, text.size()));
     const auto eq = field.find('=');
     double v = 0;
-    if (eq == std::string_view::npos || !read_number(field.substr(eq + 1), v) || !std::isfinite(v)) continue;
+    if (eq == std::string_view::npos || !read_number(field.substr(eq + 1), v) ||
+        !(v >= 0 && v <= kMostReported))
+      continue;
     switch (wire::load_field(field.substr(0, eq))) {
       case LoadField::kQueue:
         load.queue = v;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -15,11 +15,27 @@
 
 constexpr auto kSweep = std::chrono::milliseconds(500);
 constexpr double kIdleShare = 0.5;  // of the host's idle limit: an answer's way and a slow moment fit besides
-constexpr std::size_t kReplyElements = 4;
+constexpr std::size_t kReplyElements = 3;
 constexpr std::size_t kKeptRequest = 4096;
 
-// Where a reply holds a host's word: the value, the figures on use, the load report.
-enum : std::size_t { kValue = 0, kReport = 2, kLeastWords = 1 };
+// A good reply's elements: the value, the figures on use or null, the load report or null.
+enum : std::size_t { kValue = 0, kUse = 1, kReport = 2, kWords = 3 };
+bool text_or_null(const resp::Item& item) {
+  return item.kind == resp::Kind::kBulk || item.kind == resp::Kind::kNull;
+}
+
+// The figures on use go nowhere from here, so they may be a number or a text.
+bool proper(const std::vector<resp::Item>& items) {
+  return items.size() == kWords && items[kValue].kind == resp::Kind::kBulk &&
+         (text_or_null(items[kUse]) || items[kUse].kind == resp::Kind::kInteger) &&
+         text_or_null(items[kReport]);
+}
+
+// An error line that a host may send. Anything else that begins with '-' is noise.
+bool proper_error(std::string_view text) {
+  const auto word = text.substr(0, text.find(' '));
+  return word == "BUSY" || word == "ERR";
+}
 
 }  // namespace
 
@@ -65,6 +81,15 @@
     if (up_) write();
   }
 
+  // Nothing has come that nobody asked for, and the host has not closed. Looked at before a write, as what
+  // has come may not have been read yet.
+  bool quiet() {
+    char byte;
+    error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block || error == asio::error::try_again;
+  }
+
   bool up() const { return up_; }
   Ms idle_since() const { return idle_since_; }
   AttemptId attempt() const { return attempt_; }
@@ -153,14 +178,14 @@
     std::string_view value, report;
     const auto& items = frame_.items;
     if (frame_.array) {
-      if (items.size() < kLeastWords || items[kValue].kind != resp::Kind::kBulk) {
-        log_line("malformed reply of a host", "no value");
+      if (!proper(items)) {
+        log_line("malformed reply of a host", "not a value, figures on use and a report");
         return finish(broken());
       }
       outcome = Outcome::kOk;
       value = items[kValue].text;
-      if (items.size() > kReport && items[kReport].kind == resp::Kind::kBulk) report = items[kReport].text;
-    } else if (items[0].kind == resp::Kind::kError) {
+      if (items[kReport].kind == resp::Kind::kBulk) report = items[kReport].text;
+    } else if (items[0].kind == resp::Kind::kError && proper_error(items[0].text)) {
       const auto text = items[0].text;
       if (text.substr(0, text.find(' ')) == "BUSY") outcome = Outcome::kFull;
       const auto space = text.rfind(' ');
@@ -238,18 +263,39 @@
   return true;
 }
 
+// Danger: a second copy or noise can come right behind a good answer. It is seen, and the connection closed,
+// if the connection rests for a moment before it is used again; else it would be taken for the next answer.
+//
+// Of the connections that have rested the one used last, so that those not needed grow old and are closed.
+std::shared_ptr<Hosts::Link> Hosts::take_rested(Pool& pool) {
+  for (;;) {
+    const auto rested = std::find_if(pool.idle.rbegin(), pool.idle.rend(), [&](const auto& link) {
+      return clock_.now() - link->idle_since() >= limits_.rest;
+    });
+    if (rested == pool.idle.rend()) return nullptr;
+    const auto link = *rested;
+    if (link->quiet()) {
+      pool.idle.erase(std::next(rested).base());
+      return link;
+    }
+    link->close();
+  }
+}
+
 bool Hosts::start(AttemptId attempt, HostId host, std::string request) {
   const auto it = pools_.find(host);
   if (it == pools_.end() || !it->second->open) return false;
   Pool& pool = *it->second;
-  if (!pool.idle.empty()) {
-    const auto link = pool.idle.back();
-    pool.idle.pop_back();
+  if (const auto link = take_rested(pool)) {
     out_.emplace(attempt, link);
     link->carry(attempt, std::move(request));
     return true;
   }
-  if (pool.links.size() >= limits_.per_host) return false;
+  // At the cap one that has not rested is given up for a new connection: better a handshake than a mix-up.
+  if (pool.links.size() >= limits_.per_host) {
+    if (pool.idle.empty()) return false;
+    std::shared_ptr(pool.idle.front())->close();
+  }
   if (links_ >= limits_.connections && !drop_an_idle_link()) return false;
   const auto link = std::make_shared<Link>(*this, pool);
   // Out of descriptors: an idle connection elsewhere gives way, else this attempt was never sent.
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -34,6 +34,7 @@
   std::size_t connections = 400;  // over all hosts
   std::size_t per_host = 96;
   std::size_t idle_per_host = 16;
+  Ms rest = 0;  // of a connection after an answer, before it is used again
 };
 
 // One attempt is out on a connection at a time: giving one up means to close its connection, and an answer
@@ -65,6 +66,7 @@
 
   void ended(AttemptId attempt, Outcome outcome, std::string_view value, std::string_view report);
   bool drop_an_idle_link();
+  std::shared_ptr<Link> take_rested(Pool& pool);
   void sweep();
 
   boost::asio::io_context& io_;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -46,6 +46,7 @@
   second.command();
   first.send(served("one"));
   EXPECT_EQ(a.reply(), "one");
+  let_rest();
   a.send(query(3));
   EXPECT_EQ(first.command().at(2), id(3));
   first.send(served("three"));
@@ -66,6 +67,7 @@
   EXPECT_TRUE(at.quiet(20));
   at.send(served("a"));
   EXPECT_EQ(a.reply(), "a");
+  let_rest();
   b.send(query(9));  // and free again once that is answered
   EXPECT_EQ(at.command().at(2), id(9));
   at.send(served("b"));
@@ -169,7 +171,11 @@
 }
 
 TEST(Hosts, AMalformedReplyIsABrokenAttempt) {
-  for (const std::string bad : {"*1\r\n$-1\r\n", "$3\r\nabc\r\n", "+OK\r\n", "*3\r\n*1\r\n", "what\r\n"}) {
+  for (const std::string bad :
+       {"*1\r\n$-1\r\n", "$3\r\nabc\r\n", "+OK\r\n", "*3\r\n*1\r\n", "what\r\n", "*1\r\n$1\r\nx\r\n",
+        "*2\r\n$1\r\nx\r\n$-1\r\n", "*4\r\n$1\r\nx\r\n$-1\r\n$-1\r\n$-1\r\n",
+        "*3\r\n$1\r\nx\r\n+1\r\n$-1\r\n", "*3\r\n$1\r\nx\r\n$-1\r\n+depth=1\r\n", "-what\r\n",
+        "*3\r\n$3000000000\r\nx"}) {
     Listener host, other, discovery;
     Program program(
         config(known({target("s-1", host.port()), target("s-2", other.port())}), discovery.port()));
@@ -199,6 +205,7 @@
     EXPECT_EQ(at->command().at(2), id(n));
     at->send(served("ok"));
     EXPECT_EQ(client.reply(), "ok");
+    let_rest();
   }
 }
 
--- a/tests/hosts_test.cpp
+++ b/tests/hosts_test.cpp
@@ -14,8 +14,10 @@
 
 struct Ends : HostEvents {
   std::map<AttemptId, std::vector<Outcome>> seen;
-  void on_attempt_end(AttemptId attempt, Outcome outcome, std::string_view, std::string_view) override {
+  std::map<AttemptId, std::string> values;
+  void on_attempt_end(AttemptId attempt, Outcome outcome, std::string_view value, std::string_view) override {
     seen[attempt].push_back(outcome);
+    values[attempt] = value;
   }
 };
 
@@ -103,6 +105,61 @@
   EXPECT_FALSE(bench.ends.seen.contains(1));
 }
 
+// A second copy behind a good answer, however late it comes, is never taken for the next request's answer.
+TEST(Attempts, WhatComesBehindAnAnswerIsNotTheNextOnes) {
+  Listener host;
+  PoolLimits limits;
+  limits.rest = 60'000;
+  Bench bench(limits);
+  bench.add(1, host.port());
+  std::thread peer([&] {
+    auto first = host.accept();
+    first.command();
+    first.send(served("one"));
+    auto second = host.accept();  // the first has not rested
+    second.command();
+    first.send(served("one"));
+    second.send(served("two"));
+    EXPECT_TRUE(first.ends());
+  });
+  ASSERT_TRUE(bench.hosts.start(1, 1, query(1)));
+  EXPECT_EQ(bench.wait_for(1), Outcome::kOk);
+  ASSERT_TRUE(bench.hosts.start(2, 1, query(2)));
+  EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
+  EXPECT_EQ(bench.ends.values[2], "two");
+  while (bench.hosts.connections() > 1) bench.io.run_one();
+  peer.join();
+}
+
+// The copy has come, but the loop has not read it yet when the rested connection is wanted again.
+TEST(Attempts, AConnectionWithSomethingToReadIsNotUsedAgain) {
+  Listener host;
+  PoolLimits limits;
+  Bench bench(limits);
+  bench.add(1, host.port());
+  ASSERT_TRUE(bench.hosts.start(1, 1, query(1)));
+  std::optional<Peer> first;
+  std::thread peer([&] {
+    first.emplace(host.accept());
+    first->command();
+    first->send(served("one"));
+  });
+  EXPECT_EQ(bench.wait_for(1), Outcome::kOk);
+  peer.join();
+  first->send(served("one"));
+  std::thread next([&] {
+    auto second = host.accept();
+    second.command();
+    second.send(served("two"));
+    second.ends();
+  });
+  ASSERT_TRUE(bench.hosts.start(2, 1, query(2)));
+  EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
+  EXPECT_EQ(bench.ends.values[2], "two");
+  bench.hosts.close_all();
+  next.join();
+}
+
 TEST(Attempts, TheCapIsKeptAndARetiredHostGetsNothing) {
   Listener host;
   PoolLimits limits;
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <boost/json.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -21,6 +22,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -182,6 +184,9 @@
          text + "]}";
 }
 
+// A host's connection is used again only after a rest; longer than that here, however fast the machine is.
+inline void let_rest() { std::this_thread::sleep_for(std::chrono::milliseconds(80)); }
+
 // A configuration with a safe, a keyed and an unsafe class; times long enough for any machine.
 inline boost::json::object config(const std::string& known, int discovery_port) {
   auto json = boost::json::parse(R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -67,6 +67,7 @@
     EXPECT_EQ(at.command().at(2), id(n));
     at.send(served("three"));
     EXPECT_EQ(client.reply(), "three");
+    let_rest();
     client.send(query(n + 1));
   }
   EXPECT_FALSE(first.waiting(0));
