Hosts, customers and timers that are done with are forgotten; what is short here is not blamed on a host

From reading: pools_, known_ and the module's hosts were never erased, customers who came once stayed 60 s, timers of far deadlines stayed below the top, and Hosts::start told no room here as kConnectFailed, which counts against the host.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -14,8 +14,10 @@
 namespace thistlepond {
 namespace {
 
-constexpr Ms kTickMs = 100;     // the design's period of lending
-constexpr Ms kIdleMs = 60'000;  // the design's time to drop an idle customer
+constexpr Ms kTickMs = 100;           // the design's period of lending
+constexpr Ms kIdleMs = 60'000;        // the design's time to drop an idle customer
+constexpr double kForgotten = 0.05;   // units of demand remembered: less is none
+constexpr Ms kGoneMemoryMs = 10'000;  // of a host that has left: further attempts may be bound to its group
 constexpr Ms kNoTime = std::numeric_limits<Ms>::infinity();
 constexpr double kTokenDust = 1e-9;     // units; forgives rounding of the refill
 constexpr Ms kShareMemoryMs = 1000;     // arrivals are remembered so long for lending: several requests each
@@ -227,6 +229,15 @@
     return c;
   }
 
+  // Danger: customers that come once would fill the memory for a minute each. One with full buckets, of whom
+  // nothing is remembered, is what it would be if it came anew.
+  bool like_new(Customer& c) {
+    c.whole.refill(now);
+    return c.demand < kForgotten && c.whole.has(c.whole.volume) &&
+           std::all_of(c.children.begin(), c.children.end(),
+                       [](auto& child) { return child.bucket.has(child.bucket.volume); });
+  }
+
   // Lending (19), every tick: a child's next rate is its guaranteed rate and its part, by arrival share, of
   // what the parent could have given and did not.
   void lend() {
@@ -248,7 +259,8 @@
       c.ceiling.refill(now);
       // Never dropped while that would give tokens back early: only full buckets go.
       const bool full = c.parent.has(c.parent.volume) && c.ceiling.has(c.ceiling.volume);
-      it = c.open <= 0 && full && now - c.seen > kIdleMs ? customers.erase(it) : std::next(it);
+      const bool idle = now - c.seen > kIdleMs || (full && like_new(c));
+      it = c.open <= 0 && full && idle ? customers.erase(it) : std::next(it);
     }
   }
 
@@ -789,6 +801,10 @@
   void tick(Actions& out) {
     lend();
     find_lost(out);
+    std::erase_if(hosts, [&](auto& entry) {
+      const Host& h = entry.second;
+      return !h.listed && h.out <= 0 && now - h.touched > kGoneMemoryMs;
+    });
     out.wake(kTickMs, kTickToken);
   }
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -22,7 +22,9 @@
 constexpr Ms kLongestWait = 600'000;   // of a client; more is no sensible time
 constexpr double kMostReported = 1e5;  // of a figure in a load report; no host holds so many
 constexpr std::size_t kLongestName = 128;
-constexpr Ms kRest = 25;  // noise behind an answer comes with it or in the moment after
+constexpr std::size_t kManyTimers = 2048,
+                      kTimersEach = 12;  // more of them are mostly of requests that are done
+constexpr Ms kRest = 25;                 // noise behind an answer comes with it or in the moment after
 constexpr std::size_t kSpareSockets =
     48;  // standard streams, listener, discovery, epoll and what comes between
 constexpr CustomerId kCustomers = CustomerId{1} << 33;
@@ -165,16 +167,18 @@
 }
 
 void Gateway::apply(const TargetList& list, ListKind kind) {
-  const auto all = entries(list);
+  auto all = entries(list);
+  if (kind == ListKind::kWhole) {  // whoever is not named any more is gone
+    std::unordered_set<HostId> named;
+    for (const auto& e : all) named.insert(e.id);
+    for (const auto& [id, known] : known_) {
+      if (!named.contains(id)) all.push_back({.id = id, .state = HostState::kGone});
+    }
+  }
   control_.on_list(clock_.now(), kind, all, *this);
   for (const auto& e : all) {
     if (e.state != HostState::kReady) hosts_.retire(e.id);
-  }
-  if (kind == ListKind::kWhole) {
-    for (const auto& [id, known] : known_) {
-      if (std::none_of(all.begin(), all.end(), [&, n = id](const auto& e) { return e.id == n; }))
-        hosts_.retire(id);
-    }
+    if (e.state == HostState::kGone) known_.erase(e.id);
   }
   ready_ = ready_ || !list.targets.empty();
   tell_module();
@@ -349,8 +353,10 @@
   ++r.out;
   if (r.answered || left <= 0) return end_try(request, index, Outcome::kNotSent, {});
   tries_.emplace(attempt, std::pair{request, index});
-  if (!hosts_.start(attempt, host, render(r.order, left))) {
-    return end_try(request, index, Outcome::kConnectFailed, {});
+  const auto started = hosts_.start(attempt, host, render(r.order, left));
+  if (started != StartResult::kStarted) {
+    const bool here = started == StartResult::kNoRoomHere;
+    return end_try(request, index, here ? Outcome::kNotSent : Outcome::kConnectFailed, {});
   }
   if (now + left < r.expires_at) timers_.push({now + left, Timer::kExpiry, request});
 }
@@ -521,6 +527,13 @@
 void Gateway::drop_dead_timers() {
   const auto dead = [&](const Timer& t) { return t.token <= last_request_ && !asked_.contains(t.token); };
   while (!timers_.empty() && dead(timers_.top())) timers_.pop();
+  // Danger: those of requests with far deadlines that are done long before would pile up below the top.
+  if (timers_.size() <= kManyTimers + kTimersEach * asked_.size()) return;
+  std::vector<Timer> alive;
+  for (; !timers_.empty(); timers_.pop()) {
+    if (!dead(timers_.top())) alive.push_back(timers_.top());
+  }
+  timers_ = decltype(timers_)(std::greater<>(), std::move(alive));
 }
 
 void Gateway::arm_timer() {
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -49,7 +49,8 @@
 
 class Hosts::Link : public std::enable_shared_from_this<Link> {
  public:
-  Link(Hosts& owner, Pool& pool) : owner_(owner), pool_(&pool), socket_(owner.io_), timer_(owner.io_) {}
+  Link(Hosts& owner, std::shared_ptr<Pool> pool)
+      : owner_(owner), pool_(std::move(pool)), socket_(owner.io_), timer_(owner.io_) {}
 
   // False if there is no socket to be had.
   bool connect(const tcp::endpoint& at) {
@@ -211,7 +212,7 @@
   }
 
   Hosts& owner_;
-  Pool* pool_;
+  std::shared_ptr<Pool> pool_;  // an attempt may outlast its host's entry
   tcp::socket socket_;
   asio::steady_timer timer_;
   resp::Reader reader_{resp::Limits{.elements = kReplyElements}, false};
@@ -227,11 +228,16 @@
     : io_(io), clock_(clock), events_(events), limits_(limits), sweep_timer_(io) {
   sweep();
 }
-Hosts::~Hosts() = default;
+// Links and their pools hold each other until a link is closed.
+Hosts::~Hosts() { close_all(); }
 
 void Hosts::add(HostId host, const tcp::endpoint& at, Ms started_at) {
   auto& pool = pools_[host];
-  if (!pool) pool = std::make_unique<Pool>();
+  if (const auto back = leaving_.find(host); !pool && back != leaving_.end()) {
+    pool = back->second;
+    leaving_.erase(back);
+  }
+  if (!pool) pool = std::make_shared<Pool>();
   if (pool->at != at || pool->started_at != started_at) {
     for (const auto& link : std::vector(pool->idle)) link->close();
   }
@@ -249,6 +255,10 @@
   for (const auto& link : std::vector(it->second->links)) {
     if (!link->up()) link->finish(Outcome::kConnectFailed);
   }
+  // Danger: hosts come and go under ever new ids; kept, their entries would grow without end. What is still
+  // out on its connections goes on and is bounded by its deadline.
+  leaving_.insert_or_assign(host, it->second);
+  pools_.erase(host);
 }
 
 bool Hosts::drop_an_idle_link() {
@@ -282,33 +292,33 @@
   }
 }
 
-bool Hosts::start(AttemptId attempt, HostId host, std::string request) {
+StartResult Hosts::start(AttemptId attempt, HostId host, std::string request) {
   const auto it = pools_.find(host);
-  if (it == pools_.end() || !it->second->open) return false;
+  if (it == pools_.end() || !it->second->open) return StartResult::kNoHost;
   Pool& pool = *it->second;
   if (const auto link = take_rested(pool)) {
     out_.emplace(attempt, link);
     link->carry(attempt, std::move(request));
-    return true;
+    return StartResult::kStarted;
   }
   // At the cap one that has not rested is given up for a new connection: better a handshake than a mix-up.
   if (pool.links.size() >= limits_.per_host) {
-    if (pool.idle.empty()) return false;
+    if (pool.idle.empty()) return StartResult::kNoRoomHere;
     std::shared_ptr(pool.idle.front())->close();
   }
-  if (links_ >= limits_.connections && !drop_an_idle_link()) return false;
-  const auto link = std::make_shared<Link>(*this, pool);
+  if (links_ >= limits_.connections && !drop_an_idle_link()) return StartResult::kNoRoomHere;
+  const auto link = std::make_shared<Link>(*this, it->second);
   // Out of descriptors: an idle connection elsewhere gives way, else this attempt was never sent.
   if (!link->connect(pool.at) &&
       !((drop_an_idle_link() || (make_room && make_room())) && link->connect(pool.at))) {
     log_line("no socket for a host");
-    return false;
+    return StartResult::kNoRoomHere;
   }
   ++links_;
   pool.links.push_back(link);
   out_.emplace(attempt, link);
   link->carry(attempt, std::move(request));
-  return true;
+  return StartResult::kStarted;
 }
 
 void Hosts::abandon(AttemptId attempt) {
@@ -329,6 +339,7 @@
       if (clock_.now() - link->idle_since() > limits_.idle_limit * kIdleShare) link->close();
     }
   }
+  std::erase_if(leaving_, [](const auto& entry) { return entry.second->links.empty(); });
   sweep_timer_.expires_after(kSweep);
   sweep_timer_.async_wait([this](error_code error) {
     if (!error) sweep();
@@ -336,8 +347,10 @@
 }
 
 void Hosts::close_all() {
-  for (const auto& [id, pool] : pools_) {
-    for (const auto& link : std::vector(pool->links)) link->close();
+  for (const auto* pools : {&pools_, &leaving_}) {
+    for (const auto& [id, pool] : *pools) {
+      for (const auto& link : std::vector(pool->links)) link->close();
+    }
   }
   sweep_timer_.cancel();
 }
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -28,6 +28,13 @@
                               std::string_view report) = 0;
 };
 
+// Danger: what is short here must not be blamed on the host, which was asked for nothing.
+enum class StartResult : std::uint8_t {
+  kStarted,
+  kNoHost,      // unknown or retired
+  kNoRoomHere,  // out of connections or descriptors
+};
+
 struct PoolLimits {
   Ms connect_timeout = 250;
   Ms idle_limit = 15'000;         // a host closes a connection that has stood idle for so long
@@ -49,12 +56,13 @@
   // A host that drains or is gone: at once nothing new, nor what still waits for a connection to come up.
   void retire(HostId host);
 
-  // False if it can't be tried: unknown, retired or no connection to be had. Then no end is reported.
-  bool start(AttemptId attempt, HostId host, std::string request);
+  // If it is not started, no end is reported.
+  StartResult start(AttemptId attempt, HostId host, std::string request);
   // Nobody waits for this attempt any more. No end is reported for it.
   void abandon(AttemptId attempt);
 
   std::size_t connections() const { return links_; }
+  std::size_t known() const { return pools_.size() + leaving_.size(); }
   void close_all();
 
   // Asked when a socket can't be had: makes room elsewhere if it can.
@@ -74,7 +82,8 @@
   HostEvents& events_;
   PoolLimits limits_;
   boost::asio::steady_timer sweep_timer_;
-  std::unordered_map<HostId, std::unique_ptr<Pool>> pools_;
+  std::unordered_map<HostId, std::shared_ptr<Pool>> pools_;
+  std::unordered_map<HostId, std::shared_ptr<Pool>> leaving_;  // retired, with attempts still out
   std::unordered_map<AttemptId, std::shared_ptr<Link>> out_;
   std::size_t links_ = 0;
 };
--- a/tests/hosts_test.cpp
+++ b/tests/hosts_test.cpp
@@ -46,7 +46,7 @@
     Listener host;
     Bench bench;
     bench.add(1, host.port());
-    ASSERT_TRUE(bench.hosts.start(1, 1, kLarge));
+    ASSERT_EQ(bench.hosts.start(1, 1, kLarge), StartResult::kStarted);
     std::thread peer([&] {
       auto at = host.accept();
       at.exactly(whole ? kLarge.size() : 1);
@@ -66,7 +66,7 @@
   bench.add(1, host.port());
   bench.add(2, gone.port());
   gone.close();
-  ASSERT_TRUE(bench.hosts.start(1, 2, "x"));
+  ASSERT_EQ(bench.hosts.start(1, 2, "x"), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(1), Outcome::kConnectFailed);
   std::thread peer([&] {
     auto at = host.accept();
@@ -75,9 +75,9 @@
     at.command();
     at.send("-ERR failed\r\n");
   });
-  ASSERT_TRUE(bench.hosts.start(2, 1, query(1)));
+  ASSERT_EQ(bench.hosts.start(2, 1, query(1)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(2), Outcome::kFull);
-  ASSERT_TRUE(bench.hosts.start(3, 1, query(2)));
+  ASSERT_EQ(bench.hosts.start(3, 1, query(2)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(3), Outcome::kError);
   peer.join();
 }
@@ -86,10 +86,10 @@
   Listener host;
   Bench bench;
   bench.add(1, host.port());
-  ASSERT_TRUE(bench.hosts.start(1, 1, query(1)));
+  ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
   bench.hosts.abandon(1);
   EXPECT_EQ(bench.hosts.connections(), 0u);
-  ASSERT_TRUE(bench.hosts.start(2, 1, query(2)));
+  ASSERT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
   std::thread peer([&] {
     for (;;) {
       auto at = host.accept();
@@ -122,9 +122,9 @@
     second.send(served("two"));
     EXPECT_TRUE(first.ends());
   });
-  ASSERT_TRUE(bench.hosts.start(1, 1, query(1)));
+  ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(1), Outcome::kOk);
-  ASSERT_TRUE(bench.hosts.start(2, 1, query(2)));
+  ASSERT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
   EXPECT_EQ(bench.ends.values[2], "two");
   while (bench.hosts.connections() > 1) bench.io.run_one();
@@ -137,7 +137,7 @@
   PoolLimits limits;
   Bench bench(limits);
   bench.add(1, host.port());
-  ASSERT_TRUE(bench.hosts.start(1, 1, query(1)));
+  ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
   std::optional<Peer> first;
   std::thread peer([&] {
     first.emplace(host.accept());
@@ -153,7 +153,7 @@
     second.send(served("two"));
     second.ends();
   });
-  ASSERT_TRUE(bench.hosts.start(2, 1, query(2)));
+  ASSERT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
   EXPECT_EQ(bench.ends.values[2], "two");
   bench.hosts.close_all();
@@ -166,14 +166,42 @@
   limits.connections = 2;
   Bench bench(limits);
   bench.add(1, host.port());
-  EXPECT_TRUE(bench.hosts.start(1, 1, query(1)));
-  EXPECT_TRUE(bench.hosts.start(2, 1, query(2)));
-  EXPECT_FALSE(bench.hosts.start(3, 1, query(3)));
+  EXPECT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
+  EXPECT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
+  EXPECT_EQ(bench.hosts.start(3, 1, query(3)), StartResult::kNoRoomHere);
   bench.hosts.retire(1);  // both still wait for their connections
   EXPECT_EQ(bench.ends.seen[1].at(0), Outcome::kConnectFailed);
   EXPECT_EQ(bench.ends.seen[2].at(0), Outcome::kConnectFailed);
-  EXPECT_FALSE(bench.hosts.start(4, 1, query(4)));
-  EXPECT_FALSE(bench.hosts.start(5, 9, query(5)));
+  EXPECT_EQ(bench.hosts.start(4, 1, query(4)), StartResult::kNoHost);
+  EXPECT_EQ(bench.hosts.start(5, 9, query(5)), StartResult::kNoHost);
+}
+
+// Hosts come and go under ever new ids; what is out at one that leaves is still answered.
+TEST(Pools, ThoseOfHostsThatHaveLeftAreForgottenOnceNothingIsOut) {
+  Listener host;
+  Bench bench;
+  for (HostId id = 1; id <= 500; ++id) {
+    bench.add(id, host.port());
+    if (id == 1) {
+      ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
+      std::thread peer([&] {
+        auto at = host.accept();
+        at.command();
+        at.send(served("one"));
+        at.ends();
+      });
+      EXPECT_EQ(bench.wait_for(1), Outcome::kOk);
+      bench.hosts.retire(id);
+      peer.join();
+    } else {
+      bench.hosts.retire(id);
+    }
+  }
+  while (bench.hosts.known() > 0) {
+    bench.clock.new_batch();
+    bench.io.run_one();
+  }
+  EXPECT_EQ(bench.hosts.connections(), 0u);
 }
 
 TEST(Numbers, AHostsNumberComesFromItsUidAlone) {
