--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -72,13 +72,7 @@
   }
 
   bool idle() const { return slots_.empty() && out_.empty() && reader_.empty() && !lingering_; }
-  // Danger: what a client has sent and nobody has read yet would be lost with its connection.
-  bool unread() const {
-    error_code ignored;
-    return socket_.available(ignored) > 0;
-  }
   // Has not yet said anything whole, and nothing is owed on it.
-  bool lingering() const { return lingering_; }
   bool silent() const { return first_ == 0 && slots_.empty() && !lingering_; }
   // How gladly this one is closed for a newcomer; 0: never, as something is owed on it.
   int spare() const {
@@ -383,16 +377,11 @@
   for (const auto& [id, c] : connections_) {
     const int spare = c->spare();
     if (spare == 0) continue;
-    if (c->silent()) ++silent_ones;
-    const bool older = c->silent() && (!silent || c->used() < silent->used());
-    const bool worse =
-        !worst || spare > worst->spare() || (spare == worst->spare() && c->used() < worst->used());
-    if ((!older && !worse) || (!c->lingering() && c->unread())) continue;
-    if (older) silent = c;
-    if (worse) worst = c;
+    if (c->silent() && ++silent_ones && (!silent || c->used() < silent->used())) silent = c;
+    if (!worst || spare > worst->spare() || (spare == worst->spare() && c->used() < worst->used())) worst = c;
   }
   if (!worst) return false;
-  (silent && silent_ones * kManySilent > most_ ? silent : worst)->close();
+  (silent_ones * kManySilent > most_ ? silent : worst)->close();
   return true;
 }
 
