--- /dev/null
+++ b/src/engine/digest.h
@@ -0,0 +1,31 @@
+// A fingerprint of a state, for tools that must tell whether they have been in it before. Two states with
+// equal prints are the same but for a chance of about n^2 / 2^65 among n states.
+#pragma once
+
+#include <bit>
+#include <cstdint>
+#include <string_view>
+
+namespace thistlepond::engine {
+
+class Digest {
+ public:
+  void add(std::uint64_t word) {
+    value_ ^= word;
+    value_ *= 0x9fb21c651e98df25u;
+    value_ ^= value_ >> 29;
+    value_ *= 0xd6e8feb86659fd93u;
+    value_ ^= value_ >> 32;
+  }
+  void add(double number) { add(std::bit_cast<std::uint64_t>(number)); }
+  void add(std::string_view text) {
+    add(std::uint64_t{text.size()});
+    for (const char c : text) add(std::uint64_t{static_cast<unsigned char>(c)});
+  }
+  std::uint64_t value() const { return value_; }
+
+ private:
+  std::uint64_t value_ = 0x243f6a8885a308d3u;
+};
+
+}  // namespace thistlepond::engine
--- /dev/null
+++ b/src/engine/engine.cpp
@@ -0,0 +1,363 @@
+#include "engine.h"
+
+#include <algorithm>
+#include <cmath>
+#include <exception>
+#include <utility>
+
+#include "faults.h"
+
+namespace thistlepond::engine {
+
+namespace {
+
+constexpr std::size_t kManyTimers = 2048;
+constexpr std::size_t kTimersEach = 12;  // more of them are mostly of requests that are done
+
+}  // namespace
+
+Engine::Engine(Module& module, HostSide& hosts, const Limits& limits, Note note)
+    : module_(module), hosts_(hosts), limits_(limits), note_(std::move(note)) {}
+
+void Engine::start(Ms now) {
+  now_ = now;
+  consult(0, [&] { module_.start(now, *this); });
+  after_module();
+}
+
+// Danger: an exception out of the module must neither lose what the call was about nor keep the rest of it
+// from being done: hosts still retire, ends are still told.
+template <class Call>
+void Engine::consult(RequestId about, Call&& call) {
+  in_module_ = true;
+  try {
+    call();
+  } catch (const std::exception& error) {
+    note_("the module threw", error.what());
+    if (about != 0) faulted_.push_back(about);
+  } catch (...) {
+    note_("the module threw", "");
+    if (about != 0) faulted_.push_back(about);
+  }
+  in_module_ = false;
+}
+
+void Engine::on_list(Ms now, ListKind kind, std::span<const HostEntry> entries) {
+  now_ = now;
+  // The module first: what a retired host's waiting attempts come to is decided with the new list.
+  consult(0, [&] { module_.on_list(now, kind, entries, *this); });
+  for (const auto& e : entries) {
+    if (e.state != HostState::kReady) hosts_.retire(now, e.id);
+  }
+  after_module();
+}
+
+// ---- requests in ----
+
+Taken Engine::take(Ms now, FrontEnd& front, Ticket ticket, Ask ask, RequestId& name) {
+  now_ = now;
+  name = 0;
+  // Danger: two requests of one id would be one at the hosts, and one's answer could be taken for the
+  // other's.
+  if (open_identities_.contains(ask.identity)) return Taken::kSameId;
+  const std::size_t bytes = ask.payload->bytes();
+  if (owed_ >= limits_.open || held_bytes_ + bytes > limits_.bytes) return Taken::kNoRoom;
+  const RequestId id = ++last_request_;
+  Ms expires_at = now + std::max(ask.wait - limits_.margin, 0.0);
+  if (stop_at_) expires_at = std::min(expires_at, *stop_at_);
+  ask.request.id = id;
+  ask.request.expires_at = expires_at;
+  held_bytes_ += bytes;
+  Asked& r = asked_[id];
+  r.front = &front;
+  r.ticket = ticket;
+  r.payload = std::move(ask.payload);
+  r.expires_at = expires_at;
+  r.identity = ask.identity;
+  open_identities_.insert(ask.identity);
+  ++owed_;
+  if (!mutant(Mutant::kForgetsDeadline)) timers_.push({expires_at, Timer::kExpiry, id});
+  consult(id, [&] { module_.on_request(now, ask.request, *this); });
+  after_module();
+  const auto it = asked_.find(id);
+  if (it != asked_.end() && !it->second.answered) name = id;
+  return Taken::kYes;
+}
+
+void Engine::gone(Ms now, RequestId name) {
+  now_ = now;
+  const auto it = asked_.find(name);
+  if (it == asked_.end() || it->second.answered) return;
+  settle(name, [](FrontEnd&, Ticket) {});
+  consult(0, [&] { module_.on_gone(now, name, *this); });
+  after_module();
+}
+
+// ---- the module's actions ----
+
+void Engine::send(RequestId request, HostId host, Ms give_up_after) {
+  const auto it = asked_.find(request);
+  if (it == asked_.end()) return;
+  Asked& r = it->second;
+  const auto index = static_cast<std::uint32_t>(r.tries.size());
+  const AttemptId attempt = ++last_attempt_;
+  Ms left = r.expires_at - now_;
+  if (give_up_after > 0) left = std::min(left, give_up_after);
+  r.tries.push_back({attempt, host, now_, now_ + left, true});
+  ++r.out;
+  if ((r.answered && !mutant(Mutant::kSendsAfterAnswer)) || left <= 0) {
+    return end_try(request, index, Outcome::kNotSent, {});
+  }
+  tries_.emplace(attempt, std::pair{request, index});
+  const auto started = hosts_.start(now_, attempt, host, *r.payload, left);
+  if (started != StartResult::kStarted) {
+    const bool here = started == StartResult::kNoRoomHere;
+    return end_try(request, index, here ? Outcome::kNotSent : Outcome::kConnectFailed, {});
+  }
+  if (now_ + left < r.expires_at) timers_.push({now_ + left, Timer::kExpiry, request});
+}
+
+void Engine::cancel(RequestId request, std::uint32_t attempt) {
+  const auto it = asked_.find(request);
+  if (it == asked_.end() || attempt >= it->second.tries.size() || !it->second.tries[attempt].out) return;
+  if (!mutant(Mutant::kServesLateAnswer)) hosts_.abandon(now_, it->second.tries[attempt].id);
+  end_try(request, attempt, Outcome::kCancelled, {});
+}
+
+void Engine::refuse(RequestId request, Ms retry_after) {
+  settle(request, [&](FrontEnd& front, Ticket ticket) { front.refused(now_, ticket, retry_after); });
+}
+
+void Engine::fail(RequestId request) {
+  settle(request, [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kGivenUp); });
+}
+
+void Engine::wake(Ms after, std::uint64_t token) {
+  timers_.push({now_ + (std::isfinite(after) ? std::max(after, 0.0) : 0.0), Timer::kModule, token});
+}
+
+void Engine::note(std::string_view text) { note_("note", text); }
+
+// ---- ends ----
+
+void Engine::on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
+                            const LoadReport& load) {
+  now_ = now;
+  const auto it = tries_.find(attempt);
+  if (it == tries_.end()) return;
+  const auto [request, index] = it->second;
+  // A value that comes after the final answer goes nowhere.
+  if (outcome == Outcome::kOk) {
+    settle(request, [&](FrontEnd& front, Ticket ticket) { front.served(now, ticket, value); });
+  }
+  end_try(request, index, outcome, load);
+  after_module();
+}
+
+// The one place where an attempt ends. The module is told from the queue: most calls come from inside it.
+void Engine::end_try(RequestId id, std::uint32_t attempt, Outcome outcome, const LoadReport& load) {
+  const auto it = asked_.find(id);
+  if (it == asked_.end() || !it->second.tries[attempt].out) return;
+  Asked& r = it->second;
+  Try& t = r.tries[attempt];
+  t.out = false;
+  --r.out;
+  if (!mutant(Mutant::kServesLateAnswer)) tries_.erase(t.id);
+  ++r.untold;
+  ends_.push_back({id, attempt, outcome, load});
+  if (mutant(Mutant::kReportsEndTwice)) {
+    ++r.untold;
+    ends_.push_back(ends_.back());
+  }
+}
+
+template <class Answer>
+void Engine::settle(RequestId id, Answer&& answer) {
+  const auto it = asked_.find(id);
+  if (it == asked_.end()) return;
+  if (it->second.answered) {
+    if (mutant(Mutant::kAnswersTwice)) answer(*it->second.front, it->second.ticket);
+    return;
+  }
+  it->second.answered = true;
+  open_identities_.erase(it->second.identity);
+  --owed_;
+  settled_.push_back(id);
+  answer(*it->second.front, it->second.ticket);
+}
+
+// What is left to do when the module has had its say: ends are told, what still waits for requests that are
+// answered is withdrawn, and what the module dropped by throwing is answered. Each may bring more of it.
+void Engine::after_module() {
+  if (in_module_ || finishing_) return;
+  finishing_ = true;
+  for (;;) {
+    tell_ends();
+    if (!settled_.empty()) {
+      const RequestId id = settled_.back();
+      settled_.pop_back();
+      withdraw_waiting(id);
+      forget_if_done(id);
+    } else if (!faulted_.empty()) {
+      const RequestId id = faulted_.back();
+      faulted_.pop_back();
+      fail_if_stranded(id);
+    } else if (ends_.empty()) {
+      break;
+    }
+  }
+  finishing_ = false;
+}
+
+void Engine::tell_ends() {
+  while (!ends_.empty()) {
+    const End end = ends_.front();
+    ends_.pop_front();
+    const auto it = asked_.find(end.request);
+    if (it == asked_.end()) continue;
+    Asked& r = it->second;
+    --r.untold;
+    const Try& t = r.tries[end.attempt];
+    const AttemptEnd told{end.request,   end.attempt, t.host, end.outcome,
+                          now_ - t.sent, r.answered,  {},     end.load};
+    consult(end.request, [&] { module_.on_attempt_end(now_, told, *this); });
+    forget_if_done(end.request);
+  }
+}
+
+// Danger: an attempt that still waits for its connection would be written after the final answer. It never
+// ran, so taking it back is no cancel, and lawful where the settings allow none.
+void Engine::withdraw_waiting(RequestId id) {
+  const auto it = asked_.find(id);
+  if (it == asked_.end() || mutant(Mutant::kSendsAfterAnswer)) return;
+  for (std::uint32_t i = 0; i < it->second.tries.size(); ++i) {
+    const Try& t = it->second.tries[i];
+    if (t.out && hosts_.withdraw(now_, t.id)) end_try(id, i, Outcome::kNotSent, {});
+  }
+}
+
+// Danger: after a throw nothing may come any more that would make the module think of this request again. A
+// client told at once can come back; one left to its deadline can't.
+void Engine::fail_if_stranded(RequestId id) {
+  const auto it = asked_.find(id);
+  if (it == asked_.end() || it->second.answered || it->second.out > 0) return;
+  if (mutant(Mutant::kLosesThrownRequest)) {
+    it->second.answered = true;
+    --owed_;
+    return forget_if_done(id);
+  }
+  settle(id, [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kInternal); });
+  consult(0, [&] { module_.on_gone(now_, id, *this); });
+}
+
+void Engine::forget_if_done(RequestId id) {
+  const auto it = asked_.find(id);
+  if (it == asked_.end() || !it->second.answered || it->second.out > 0 || it->second.untold > 0) return;
+  held_bytes_ -= it->second.payload->bytes();
+  asked_.erase(it);
+}
+
+// ---- time ----
+
+// A request's time, or an attempt's, is up. The module settles each request before; this holds if it did not.
+void Engine::expire(RequestId id) {
+  const auto it = asked_.find(id);
+  if (it == asked_.end()) return;
+  for (std::uint32_t i = 0; i < it->second.tries.size(); ++i) {
+    const Try t = it->second.tries[i];
+    if (!t.out || now_ < t.until) continue;
+    hosts_.abandon(now_, t.id);
+    end_try(id, i, Outcome::kTimedOut, {});
+  }
+  tell_ends();
+  const auto left = asked_.find(id);
+  if (left == asked_.end() || now_ < left->second.expires_at) return;
+  if (!left->second.answered) note_("settled at its deadline, not by the module", "");
+  settle(id, [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kTimedOut); });
+}
+
+void Engine::run_due(Ms now) {
+  now_ = now;
+  while (!timers_.empty() && timers_.top().at <= now) {
+    const Timer t = timers_.top();
+    timers_.pop();
+    if (t.kind == Timer::kModule) {
+      consult(asked_.contains(t.token) ? t.token : 0, [&] { module_.on_timer(now, t.token, *this); });
+    } else {
+      expire(t.token);
+    }
+    after_module();
+  }
+}
+
+// Most requests are done long before their timers are due, and the module's can't be revoked. Such timers are
+// dropped here instead of waking the program for nothing: that was two wake-ups and four system calls a
+// request. A token up to the newest request's number is that request's.
+void Engine::drop_dead_timers() {
+  const auto dead = [&](const Timer& t) { return t.token <= last_request_ && !asked_.contains(t.token); };
+  while (!timers_.empty() && dead(timers_.top())) timers_.pop();
+  // Danger: those of requests with far deadlines that are done long before would pile up below the top.
+  if (timers_.size() <= kManyTimers + kTimersEach * asked_.size()) return;
+  std::vector<Timer> alive;
+  for (; !timers_.empty(); timers_.pop()) {
+    if (!dead(timers_.top())) alive.push_back(timers_.top());
+  }
+  timers_ = decltype(timers_)(std::greater<>(), std::move(alive));
+}
+
+std::optional<Ms> Engine::next_due() {
+  drop_dead_timers();
+  if (timers_.empty()) return {};
+  return timers_.top().at;
+}
+
+// ---- the stop ----
+
+void Engine::stop(Ms now) {
+  if (!stop_at_) stop_at_ = now + limits_.settle_within;
+}
+
+void Engine::settle_all(Ms now) {
+  now_ = now;
+  if (mutant(Mutant::kStopsWithoutSettling)) return;
+  std::vector<RequestId> ids;
+  for (const auto& [id, r] : asked_) {
+    if (!r.answered) ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const auto id : ids) {
+    settle(id, [&](FrontEnd& front, Ticket ticket) { front.failed(now, ticket, Failure::kStopping); });
+    consult(0, [&] { module_.on_gone(now, id, *this); });
+  }
+  after_module();
+}
+
+// ---- the fingerprint ----
+
+void Engine::digest(Digest& into) const {
+  std::vector<RequestId> ids;
+  for (const auto& [id, r] : asked_) ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  for (const auto id : ids) {
+    const Asked& r = asked_.at(id);
+    into.add(id);
+    into.add(r.expires_at);
+    into.add(std::uint64_t{r.answered} | r.untold << 1);
+    for (const auto& t : r.tries) {
+      into.add(t.out ? t.id : 0);
+      into.add(std::uint64_t{t.host} << 1 | std::uint64_t{t.out});
+      into.add(t.out ? t.until : 0);
+    }
+  }
+  auto timers = timers_;
+  for (; !timers.empty(); timers.pop()) {
+    const auto& t = timers.top();
+    if (t.token <= last_request_ && !asked_.contains(t.token)) continue;
+    into.add(t.at);
+    into.add(t.token * 2 + t.kind);
+  }
+  into.add(last_request_ << 32 | last_attempt_);
+  into.add(stop_at_.value_or(0));
+}
+
+}  // namespace thistlepond::engine
--- /dev/null
+++ b/src/engine/engine.h
@@ -0,0 +1,230 @@
+// One gateway's obligations, without I/O: the requests it has taken, the attempts out for each, their
+// deadlines and what is still owed to whom. It drives the decision module and carries out what that decides.
+//
+// Its own promises, whatever the module does:
+//   - each request taken gets one final answer at its front end, or none if its client has gone first;
+//   - no attempt is begun, and none that waits is written, once that answer is out;
+//   - each attempt ends once, and the module hears of each end once;
+//   - a request is answered at its deadline at the latest, if `run_due` is called by `next_due`;
+//   - a host that drains or is gone gets nothing new, from the moment `on_list` returns;
+//   - memory is bounded by `Limits` and the attempts that the module asks for.
+// It decides neither which host, nor whether to retry, nor what to refuse, but for want of room here.
+//
+// Time comes in with every call and never goes back. No call may be made from inside a call that the engine
+// makes outward, except where stated. Not safe for threads.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "digest.h"
+#include "module.h"
+#include "thistlepond/control.h"
+
+namespace thistlepond::engine {
+
+using AttemptId = std::uint64_t;
+
+// A front end's own words for where an answer goes; handed back as they came.
+struct Ticket {
+  std::uint64_t connection = 0;
+  std::uint64_t place = 0;
+};
+
+// What a front end and the hosts' side know of a request and the engine does not. Kept until the request's
+// last attempt has ended.
+class Payload {
+ public:
+  virtual ~Payload() = default;
+  virtual std::size_t bytes() const = 0;  // counted against Limits::bytes
+};
+
+// Why a request that was taken has failed.
+enum class Failure : std::uint8_t {
+  kGivenUp,   // the module's decision
+  kTimedOut,  // its time was up
+  kStopping,  // the gateway ends before it could be answered
+  kInternal,  // the module threw and nothing is out that could still answer
+};
+
+// A front end: takes requests in and gives answers out. Exactly one of the three for each request taken whose
+// client is still there, possibly before `Engine::take` returns. It must not call the engine from here.
+class FrontEnd {
+ public:
+  virtual ~FrontEnd() = default;
+  // `value` lasts until the call returns.
+  virtual void served(Ms now, Ticket ticket, std::string_view value) = 0;
+  // Nothing has run that a repeat could double. `retry_after`: milliseconds until a repeat may help; 0: not
+  // known.
+  virtual void refused(Ms now, Ticket ticket, Ms retry_after) = 0;
+  virtual void failed(Ms now, Ticket ticket, Failure why) = 0;
+};
+
+// Danger: what is short here must not be blamed on the host, which was asked for nothing.
+enum class StartResult : std::uint8_t {
+  kStarted,
+  kNoHost,      // unknown, draining or gone
+  kNoRoomHere,  // out of connections or descriptors
+};
+
+// The way to the hosts.
+class HostSide {
+ public:
+  virtual ~HostSide() = default;
+  // `left`: milliseconds that the attempt may take. Once started, exactly one `Engine::on_attempt_end` comes,
+  // never from inside this call, unless the attempt is abandoned or withdrawn first.
+  virtual StartResult start(Ms now, AttemptId attempt, HostId host, const Payload& payload, Ms left) = 0;
+  // Nobody waits for this attempt any more; it may have run. No end comes for it.
+  virtual void abandon(Ms now, AttemptId attempt) = 0;
+  // Abandons it if its last byte is not written yet, so that it never runs. False: it may run or has run.
+  virtual bool withdraw(Ms now, AttemptId attempt) = 0;
+  // Nothing new for this host. What waits for a connection to it ends; ends may be reported from inside.
+  virtual void retire(Ms now, HostId host) = 0;
+};
+
+struct Limits {
+  std::size_t open = 10'000;             // requests without their final answer
+  std::size_t bytes = 24 * 1024 * 1024;  // of payloads held
+  Ms margin = 20;                        // of a client's time, for the way here and back
+  Ms settle_within = 3450;               // after `stop`, all that was taken is answered
+};
+
+// A request as a front end has read it. `request.id` and `request.expires_at` are set by the engine.
+struct Ask {
+  Request request;
+  Ms wait = 0;                 // what its client waits in all, from now
+  std::uint64_t identity = 0;  // as the hosts know it; two open requests never share one
+  std::unique_ptr<Payload> payload;
+};
+
+enum class Taken : std::uint8_t {
+  kYes,     // an answer follows or has been given
+  kSameId,  // another open request has this identity: nothing done
+  kNoRoom,  // Limits: nothing done
+};
+
+class Engine : private Actions {
+ public:
+  using Note = std::function<void(std::string_view what, std::string_view detail)>;
+
+  Engine(Module& module, HostSide& hosts, const Limits& limits, Note note);
+
+  void start(Ms now);
+  // The list's news. Hosts that became ready must be known to the hosts' side before; those that did not stay
+  // ready are retired here.
+  void on_list(Ms now, ListKind kind, std::span<const HostEntry> entries);
+
+  // `name` is set with kYes: what to name in `gone`; 0 if the request is done with already.
+  Taken take(Ms now, FrontEnd& front, Ticket ticket, Ask ask, RequestId& name);
+  // The client has gone and no answer is owed any more. Unknown and finished names are allowed.
+  void gone(Ms now, RequestId name);
+
+  // The one end of an attempt that was started. `value` with kOk only.
+  void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
+                      const LoadReport& load);
+
+  // When `run_due` has something to do; nothing if never. May change with every call.
+  std::optional<Ms> next_due();
+  void run_due(Ms now);
+
+  // A planned stop: what is taken from now on is answered within `Limits::settle_within`.
+  void stop(Ms now);
+  std::optional<Ms> settle_at() const { return stop_at_; }
+  // Answers all that is open as failed. A failure promises nothing, so it is lawful for every class and
+  // whatever has run.
+  void settle_all(Ms now);
+
+  std::size_t owed() const { return owed_; }          // requests without their final answer
+  std::size_t held() const { return asked_.size(); }  // and those with attempts still out
+  std::size_t held_bytes() const { return held_bytes_; }
+  std::size_t timers() const { return timers_.size(); }
+  void digest(Digest& into) const;
+
+ private:
+  struct Try {
+    AttemptId id = 0;
+    HostId host = 0;
+    Ms sent = 0;
+    Ms until = 0;
+    bool out = true;
+  };
+  struct Asked {
+    FrontEnd* front = nullptr;
+    Ticket ticket;
+    std::unique_ptr<Payload> payload;
+    Ms expires_at = 0;
+    std::uint64_t identity = 0;
+    bool answered = false;  // nothing is owed any more
+    std::vector<Try> tries;
+    std::size_t out = 0;
+    std::size_t untold = 0;  // ends that the module has not heard of
+  };
+  struct Timer {
+    Ms at = 0;
+    enum Kind : std::uint8_t { kModule, kExpiry } kind = kModule;
+    std::uint64_t token = 0;
+    bool operator>(const Timer& o) const { return at > o.at; }
+  };
+  struct End {  // of an attempt, that the module has not been told of yet
+    RequestId request = 0;
+    std::uint32_t attempt = 0;
+    Outcome outcome = Outcome::kError;
+    LoadReport load;
+  };
+
+  // Actions
+  void send(RequestId request, HostId host, Ms give_up_after) override;
+  void cancel(RequestId request, std::uint32_t attempt) override;
+  void refuse(RequestId request, Ms retry_after) override;
+  void fail(RequestId request) override;
+  void wake(Ms after, std::uint64_t token) override;
+  void probe(HostId) override {}  // ruled out: the settings never allow it
+  void follow_list() override {}  // the list is always followed, and comes back by itself
+  void fetch_list() override {}
+  void note(std::string_view text) override;
+
+  template <class Call>
+  void consult(RequestId about, Call&& call);
+  template <class Answer>
+  void settle(RequestId id, Answer&& answer);
+  void end_try(RequestId id, std::uint32_t attempt, Outcome outcome, const LoadReport& load);
+  void after_module();
+  void tell_ends();
+  void withdraw_waiting(RequestId id);
+  void fail_if_stranded(RequestId id);
+  void expire(RequestId id);
+  void forget_if_done(RequestId id);
+  void drop_dead_timers();
+
+  Module& module_;
+  HostSide& hosts_;
+  Limits limits_;
+  Note note_;
+  Ms now_ = 0;  // of the call that is being served
+
+  std::unordered_map<RequestId, Asked> asked_;
+  std::unordered_set<std::uint64_t> open_identities_;
+  std::unordered_map<AttemptId, std::pair<RequestId, std::uint32_t>> tries_;
+  std::deque<End> ends_;
+  std::vector<RequestId> settled_;  // in this call: what waits for them is withdrawn at its end
+  std::vector<RequestId> faulted_;  // the module threw when asked about them
+  bool in_module_ = false, finishing_ = false;
+  RequestId last_request_ = 0;
+  AttemptId last_attempt_ = 0;
+  std::size_t held_bytes_ = 0;
+  std::size_t owed_ = 0;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::optional<Ms> stop_at_;
+};
+
+}  // namespace thistlepond::engine
--- /dev/null
+++ b/src/engine/faults.h
@@ -0,0 +1,32 @@
+// Deliberate faults, to show that the explorer and the monitors find them. Built in only with
+// THISTLEPOND_MUTANTS, for tools and tests; elsewhere `mutant` is a constant false and costs nothing.
+#pragma once
+
+namespace thistlepond::engine {
+
+enum class Mutant : unsigned char {
+  kNone,
+  kAnswersTwice,          // a second final answer reaches the front end
+  kResendsAfterReset,     // a break after the last byte is told as 'could not connect'
+  kForgetsWaitingDrain,   // a drained host's attempts that wait for their connection go on
+  kSendsAfterAnswer,      // what still waits when the answer is out is not withdrawn
+  kServesLateAnswer,      // an attempt that was given up is still heard
+  kIgnoresNoise,          // what comes behind a good answer is taken for the next one
+  kLosesGoneClient,       // a client that went is not told to the engine
+  kForgetsDeadline,       // no timer for a request's time
+  kLosesThrownRequest,    // a request whose module call threw is dropped unanswered
+  kServesSpoilt,          // a spoilt answer is passed on as a value
+  kKeepsReplacedLinks,    // idle connections outlive the process they were made to
+  kAnswersOutOfOrder,     // answers on one client connection go out as they come
+  kStopsWithoutSettling,  // the stop leaves open requests unanswered
+  kReportsEndTwice,       // the module is told of one end twice
+};
+
+#ifdef THISTLEPOND_MUTANTS
+inline thread_local Mutant active_mutant = Mutant::kNone;
+inline bool mutant(Mutant which) { return active_mutant == which; }
+#else
+constexpr bool mutant(Mutant) { return false; }
+#endif
+
+}  // namespace thistlepond::engine
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,4 +1,4 @@
-// The clients' side: the listener, connections, and answers in the order of the commands.
+// The clients' side on sockets: the listener and the table of connections.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -6,20 +6,16 @@
 #include <cstdint>
 #include <memory>
 #include <span>
-#include <string>
 #include <string_view>
 #include <unordered_map>
 
+#include "client_link.h"
 #include "clock.h"
-#include "resp.h"
+#include "front.h"
 
 namespace thistlepond::net {
 
-// Where an answer goes: a connection and the place of the command on it.
-struct Ticket {
-  std::uint64_t connection = 0;
-  std::uint64_t place = 0;
-};
+using resp::Ticket;
 
 class ClientEvents {
  public:
@@ -35,18 +31,16 @@
   std::size_t buffered = 24 * 1024 * 1024;  // bytes of buffers for commands, before large halves are refused
 };
 
-class Clients {
+class Clients : public resp::Replies, public resp::ClientOwner {
  public:
   Clients(boost::asio::io_context& io, Clock& clock, ClientEvents& events, const ClientLimits& limits);
-  ~Clients();
+  ~Clients() override;
 
   void listen(const boost::asio::ip::tcp::endpoint& at);
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // `reply` is one whole RESP value. Does nothing if the client is gone. Calls nobody back.
-  void answer(Ticket ticket, std::string_view reply);
-  // An error line for what is no proper request. A client that makes many such mistakes is closed.
-  void reject(Ticket ticket, std::string_view why);
+  void answer(Ms now, Ticket ticket, std::string_view reply) override;
+  void reject(Ms now, Ticket ticket, std::string_view why) override;
 
   // From here on nobody new; connections close as soon as nothing is owed on them.
   void wind_down();
@@ -57,7 +51,9 @@
   bool make_room();
 
  private:
-  class Connection;
+  std::uint64_t on_command(Ms now, Ticket ticket, std::span<const resp::Item> words) override;
+  void on_client_gone(Ms now, std::uint64_t name) override;
+  void on_closed(std::uint64_t id) override { connections_.erase(id); }
 
   void accept();
   void accept_one();
@@ -67,15 +63,13 @@
   boost::asio::io_context& io_;
   Clock& clock_;
   ClientEvents& events_;
-  std::size_t most_, most_unsent_, most_buffered_;
+  std::size_t most_;
+  resp::ClientTotals totals_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_accept_;
   boost::asio::steady_timer sweep_timer_;
-  std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<resp::ClientLink>> connections_;
   std::uint64_t last_id_ = 0;
-  std::uint64_t uses_ = 0;
-  std::size_t unsent_ = 0;    // bytes of answers that wait for slow readers, over all connections
-  std::size_t buffered_ = 0;  // bytes of the readers' buffers
   bool winding_down_ = false;
 };
 
--- /dev/null
+++ b/src/net/tcp_stream.h
@@ -0,0 +1,54 @@
+// `resp::Stream` on a TCP socket in the event loop, and the dialler that makes them.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+
+#include "clock.h"
+#include "stream.h"
+
+namespace thistlepond::net {
+
+class TcpStream : public resp::Stream {
+ public:
+  // `events` must be owned by a shared_ptr by the time of the first call that waits for something.
+  TcpStream(boost::asio::ip::tcp::socket socket, Clock& clock, resp::StreamEvents& events)
+      : socket_(std::move(socket)), clock_(clock), events_(events) {}
+
+  // False if there is no socket to be had. Else `on_connected` comes.
+  bool connect(const boost::asio::ip::tcp::endpoint& at, Ms timeout);
+
+  Written write(std::string_view bytes) override;
+  void await_writable() override;
+  void read(std::span<char> space) override;
+  void later() override;
+  std::size_t unread() override;
+  bool quiet() override;
+  void shut_send() override;
+  void close() override;
+
+ private:
+  void connected(bool up);
+
+  boost::asio::ip::tcp::socket socket_;
+  Clock& clock_;
+  resp::StreamEvents& events_;
+  std::unique_ptr<boost::asio::steady_timer> timer_;  // while connecting
+};
+
+class TcpDialer : public resp::Dialer {
+ public:
+  TcpDialer(boost::asio::io_context& io, Clock& clock) : io_(io), clock_(clock) {}
+  std::unique_ptr<resp::Stream> dial(const resp::Address& at, Ms timeout,
+                                     resp::StreamEvents& events) override;
+  bool make_room() override { return make_room_ && make_room_(); }
+  void set_make_room(std::function<bool()> make_room) { make_room_ = std::move(make_room); }
+
+ private:
+  boost::asio::io_context& io_;
+  Clock& clock_;
+  std::function<bool()> make_room_;
+};
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/resp/client_link.cpp
@@ -0,0 +1,263 @@
+#include "client_link.h"
+
+#include <memory>
+#include <utility>
+
+#include "faults.h"
+
+namespace thistlepond::resp {
+using engine::mutant;
+using engine::Mutant;
+
+namespace {
+
+constexpr std::size_t kMostPending = 64;         // commands of one connection not yet answered
+constexpr std::size_t kMostUnsent = 256 * 1024;  // answers of one connection not yet taken
+constexpr Ms kStalled = 10'000;                  // a client that takes in nothing of its answers for so long
+// A client is owed a command, an error or a close within 3 s of its connecting, and half a command may be
+// large and slow. What is idle may go after 2 s; clients that still come use their connections more often.
+constexpr Ms kFirstCommand = 2'300;
+constexpr Ms kWholeCommand = 2'500;
+constexpr Ms kIdle = 2'300;
+constexpr std::size_t kMostMistakes = 8;  // of one connection; then it is closed, or its errors eat the CPU
+constexpr Ms kLinger = 500;  // after the last answer, for the client to read it before a reset could
+constexpr std::size_t kLargeHalf = 16 * 1024;  // less of a command is always kept until its rest comes
+
+}  // namespace
+
+ClientLink::ClientLink(ClientOwner& owner, ClientTotals& totals, std::uint64_t id, Ms now)
+    : owner_(owner), totals_(totals), id_(id), reader_(Limits{}, true) {
+  touch(now);
+  half_since_ = moved_;
+}
+
+void ClientLink::start(std::unique_ptr<Stream> stream) {
+  stream_ = std::move(stream);
+  read();
+}
+
+void ClientLink::answer(Ms now, std::uint64_t place, std::string_view reply) {
+  if (closed_ || place < first_ || place - first_ >= slots_.size()) return;
+  Slot& slot = slots_[place - first_];
+  if (slot.done) return;
+  slot.done = true;
+  slot.name = 0;
+  if (place != first_ && !mutant(Mutant::kAnswersOutOfOrder)) {
+    slot.reply = reply;
+    totals_.unsent += slot.reply.size();
+    slot.counted = slot.reply.size();
+    return;
+  }
+  append(now, reply);
+  while (!slots_.empty() && slots_.front().done) {
+    totals_.unsent -= slots_.front().counted;
+    if (slots_.front().counted > 0) append(now, slots_.front().reply);
+    slots_.pop_front(), ++first_;
+  }
+  if (!parsing_) write(now);
+  if (held_back_) go_on_later();
+}
+
+void ClientLink::reject(Ms now, std::uint64_t place, std::string_view why) {
+  std::string reply;
+  append_error(reply, why);
+  // Danger: a client that sends nothing but mistakes, as fast as it can, would have the CPU to itself.
+  if (++mistakes_ >= kMostMistakes) broken_ = last_ = true;
+  answer(now, place, reply);
+}
+
+int ClientLink::spare() const {
+  if (!slots_.empty()) return 0;
+  if (lingering_) return 3;  // done with
+  if (silent()) return 1;
+  return idle() ? 2 : out_.empty() ? 1 : 0;
+}
+
+void ClientLink::wind_down(Ms now) {
+  if (idle()) {
+    close(now);
+  } else {
+    last_ = true;
+  }
+}
+
+// Danger: clients that say nothing, half of something or nothing more would fill the table for good.
+void ClientLink::sweep(Ms now) {
+  if (closed_) return;
+  if (lingering_) {
+    if (now - moved_ > kLinger) close(now);
+    return;
+  }
+  if (!out_.empty()) {
+    if (now - moved_ > kStalled) return close(now);
+  } else if (slots_.empty() && !held_back_ && stream_->unread() == 0) {
+    const bool silent = first_ == 0 && now - half_since_ > kFirstCommand;
+    const bool half = !reader_.empty() && now - half_since_ > kWholeCommand;
+    if (silent || half || (reader_.empty() && now - moved_ > kIdle)) return close(now);
+  }
+  if (held_back_) go_on(now);
+}
+
+void ClientLink::close(Ms now) {
+  if (closed_) return;
+  closed_ = true;
+  stream_->close();
+  totals_.unsent -= out_.size();
+  totals_.buffered -= std::exchange(buffered_, 0);
+  for (const auto& slot : slots_) totals_.unsent -= slot.counted;
+  const auto self = shared_from_this();
+  owner_.on_closed(id_);
+  for (auto& slot : std::exchange(slots_, {})) {
+    if (slot.name != 0 && !mutant(Mutant::kLosesGoneClient)) owner_.on_client_gone(now, slot.name);
+  }
+}
+
+// Danger: many events share one reading of the clock, so it can't tell who was idle longest, and a client
+// that has just come could be closed to make room for itself. A count can.
+void ClientLink::touch(Ms now) {
+  moved_ = now;
+  used_ = ++totals_.uses;
+}
+
+void ClientLink::append(Ms now, std::string_view reply) {
+  if (out_.empty()) touch(now);
+  out_ += reply;
+  totals_.unsent += reply.size();
+}
+
+// Danger: a client that sends and never reads, or many of them, could have answers pile up until the program
+// is killed for memory. So no more commands are taken in from one that has much unread.
+bool ClientLink::must_hold_back() const {
+  return slots_.size() >= kMostPending || out_.size() - sent_ >= kMostUnsent ||
+         (totals_.unsent >= totals_.most_unsent && !out_.empty());
+}
+
+void ClientLink::read() {
+  if (closed_ || reading_) return;
+  reading_ = true;
+  const auto space = reader_.space();
+  totals_.buffered += reader_.held() - buffered_;
+  buffered_ = reader_.held();
+  stream_->read(space);
+}
+
+void ClientLink::on_read(Ms now, std::size_t bytes, bool ended) {
+  reading_ = false;
+  if (closed_) return;
+  if (ended) return close(now);
+  // Bytes that come in are no progress of a client that does not read its answers.
+  if (out_.empty() && slots_.empty() && !lingering_) touch(now);
+  if (lingering_ || broken_) return read();  // read and dropped, so that closing sends no reset
+  if (reader_.empty() && (first_ > 0 || !slots_.empty())) half_since_ = now;
+  reader_.commit(bytes);
+  go_on(now);
+}
+
+// From the loop, as an answer may come from inside the module.
+void ClientLink::go_on_later() {
+  if (resuming_ || must_hold_back()) return;
+  resuming_ = true;
+  stream_->later();
+}
+
+void ClientLink::on_later(Ms now) {
+  if (write_failed_) return close(now);
+  resuming_ = false;
+  if (held_back_) go_on(now);
+}
+
+void ClientLink::go_on(Ms now) {
+  if (closed_ || lingering_) return;
+  held_back_ = false;
+  parse(now);
+  write(now);
+  if (closed_) return;
+  held_back_ = must_hold_back();
+  if (!held_back_) read();
+}
+
+void ClientLink::parse(Ms now) {
+  parsing_ = true;
+  const std::unique_ptr<bool, void (*)(bool*)> unset(&parsing_, [](bool* flag) { *flag = false; });
+  while (!closed_ && !broken_ && !must_hold_back()) {
+    const auto progress = reader_.next(frame_);
+    const bool too_much =
+        progress == Progress::kMore && buffered_ > kLargeHalf && totals_.buffered > totals_.most_buffered;
+    if (progress == Progress::kMore && !too_much) break;
+    if (progress == Progress::kFrame) half_since_ = now;
+    slots_.emplace_back();
+    const Ticket ticket{id_, first_ + slots_.size() - 1};
+    // Danger: many halves of large commands would fill the memory limit.
+    if (too_much || progress == Progress::kBroken) {
+      broken_ = last_ = true;
+      std::string reply;
+      append_error(reply,
+                   std::string("ERR Protocol error: ") + (too_much ? "too much half sent" : reader_.fault()));
+      answer(now, ticket.place, reply);
+      break;
+    }
+    const auto name = owner_.on_command(now, ticket, frame_.items);
+    if (ticket.place >= first_ && !slots_.empty() && !slots_[ticket.place - first_].done) {
+      slots_[ticket.place - first_].name = name;
+    }
+  }
+}
+
+// Writes what it can at once; the rest when the stream has room again.
+void ClientLink::write(Ms now) {
+  if (closed_ || writing_ || write_failed_) return;
+  while (sent_ < out_.size()) {
+    const auto w = stream_->write(std::string_view(out_).substr(sent_));
+    if (w.blocked) {
+      writing_ = true;
+      return stream_->await_writable();
+    }
+    if (w.broken) {
+      // Danger: an answer is often given from inside the module, which must not be entered again. So the
+      // news that this client has gone waits for the loop.
+      write_failed_ = true;
+      return stream_->later();
+    }
+    sent_ += w.bytes;
+    touch(now);
+  }
+  totals_.unsent -= out_.size();
+  out_.clear();
+  sent_ = 0;
+  if (out_.capacity() > kMostUnsent) out_.shrink_to_fit();
+  // Danger: commands that were held back, or wait in the socket, have come in already; ending here would
+  // leave them unanswered.
+  if (!last_ || !slots_.empty() || parsing_ || held_back_) return;
+  if (broken_ || stream_->unread() == 0) linger(now);
+}
+
+void ClientLink::on_writable(Ms now, bool ok) {
+  writing_ = false;
+  if (closed_) return;
+  if (!ok) return close(now);
+  write(now);
+  if (held_back_) go_on(now);
+}
+
+// Danger: closing a socket with unread bytes sends a reset, which may destroy the last answer on its way.
+void ClientLink::linger(Ms now) {
+  if (lingering_) return;
+  lingering_ = true;
+  moved_ = now;
+  stream_->shut_send();
+  read();
+}
+
+void ClientLink::digest(engine::Digest& into) const {
+  into.add(id_);
+  into.add(std::uint64_t{closed_} | std::uint64_t{reading_} << 1 | std::uint64_t{writing_} << 2 |
+           std::uint64_t{write_failed_} << 3 | std::uint64_t{held_back_} << 4 | std::uint64_t{broken_} << 5 |
+           std::uint64_t{lingering_} << 6 | std::uint64_t{last_} << 7 | std::uint64_t{resuming_} << 8);
+  into.add(first_);
+  for (const auto& slot : slots_) {
+    into.add(slot.name << 1 | std::uint64_t{slot.done});
+    into.add(slot.reply);
+  }
+}
+
+}  // namespace thistlepond::resp
--- /dev/null
+++ b/src/resp/client_link.h
@@ -0,0 +1,109 @@
+// One client connection on RESP2: commands in, answers out in their order, and what is owed on it. Does no
+// I/O: its stream is given, time comes in with each call.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "engine.h"
+#include "resp.h"
+#include "stream.h"
+
+namespace thistlepond::resp {
+
+using engine::Ticket;
+
+// Sums over all client connections of a gateway, and their bounds.
+struct ClientTotals {
+  std::size_t most_unsent = 24 * 1024 * 1024;    // bytes of answers not yet taken
+  std::size_t most_buffered = 24 * 1024 * 1024;  // bytes of buffers for commands, before large halves go
+  std::size_t unsent = 0;
+  std::size_t buffered = 0;
+  std::uint64_t uses = 0;
+};
+
+// Who owns connections. Calls come from inside the connection's own.
+class ClientOwner {
+ public:
+  virtual ~ClientOwner() = default;
+  // A well-framed command; the words last until the call returns. Returns what to name if the client goes
+  // away before the answer; 0 for nothing.
+  virtual std::uint64_t on_command(Ms now, Ticket ticket, std::span<const Item> words) = 0;
+  virtual void on_client_gone(Ms now, std::uint64_t name) = 0;
+  virtual void on_closed(std::uint64_t id) = 0;
+};
+
+class ClientLink : public StreamEvents {
+ public:
+  ClientLink(ClientOwner& owner, ClientTotals& totals, std::uint64_t id, Ms now);
+
+  void start(std::unique_ptr<Stream> stream);
+
+  // `reply` is one whole RESP value. Does nothing if this place has its answer. Calls nobody back.
+  void answer(Ms now, std::uint64_t place, std::string_view reply);
+  // An error line for what is no proper request. A client that makes many such mistakes is closed.
+  void reject(Ms now, std::uint64_t place, std::string_view why);
+
+  bool idle() const { return slots_.empty() && out_.empty() && reader_.empty() && !lingering_; }
+  // Has not yet said anything whole, and nothing is owed on it.
+  bool silent() const { return first_ == 0 && slots_.empty() && !lingering_; }
+  // How gladly this one is closed for a newcomer; 0: never, as something is owed on it.
+  int spare() const;
+  // Larger: used later.
+  std::uint64_t used() const { return used_; }
+
+  // Nobody new from here on: closes as soon as nothing is owed.
+  void wind_down(Ms now);
+  // Closes what says nothing, half of something or nothing more. To be called a few times a second.
+  void sweep(Ms now);
+  void close(Ms now);
+
+  void on_connected(Ms, bool) override {}
+  void on_read(Ms now, std::size_t bytes, bool ended) override;
+  void on_writable(Ms now, bool ok) override;
+  void on_later(Ms now) override;
+  void digest(engine::Digest& into) const;
+
+ private:
+  struct Slot {
+    std::uint64_t name = 0;
+    bool done = false;
+    std::size_t counted = 0;
+    std::string reply;
+  };
+
+  void touch(Ms now);
+  void append(Ms now, std::string_view reply);
+  bool must_hold_back() const;
+  void read();
+  void go_on_later();
+  void go_on(Ms now);
+  void parse(Ms now);
+  void write(Ms now);
+  void linger(Ms now);
+
+  ClientOwner& owner_;
+  ClientTotals& totals_;
+  std::uint64_t id_;
+  std::unique_ptr<Stream> stream_;
+  Reader reader_;
+  Frame frame_;
+  std::deque<Slot> slots_;   // commands not yet answered, in their order
+  std::uint64_t first_ = 0;  // place of the first of them
+  std::string out_;
+  std::size_t sent_ = 0;
+  Ms moved_ = 0;       // last progress
+  Ms half_since_ = 0;  // since when the next command is awaited or half here
+  std::size_t buffered_ = 0, mistakes_ = 0;
+  std::uint64_t used_ = 0;
+  bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
+  bool parsing_ = false, held_back_ = false, resuming_ = false, broken_ = false, lingering_ = false;
+  bool last_ = false;  // close when nothing is owed any more
+};
+
+}  // namespace thistlepond::resp
--- /dev/null
+++ b/src/resp/front.cpp
@@ -0,0 +1,264 @@
+#include "front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace thistlepond::resp {
+
+namespace {
+
+constexpr Ms kLongestWait = 600'000;   // of a client; more is no sensible time
+constexpr double kMostReported = 1e5;  // of a figure in a load report; no host holds so many
+constexpr std::size_t kLongestName = 128;
+constexpr CustomerId kCustomers = CustomerId{1} << 33;
+
+template <typename T>
+bool read_number(std::string_view text, T& value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc{} && end == text.data() + text.size() && !text.empty();
+}
+
+bool read_hex(std::string_view text, std::uint64_t& value) {
+  if (text.size() != 16) return false;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  return error == std::errc{} && end == text.data() + text.size();
+}
+
+bool read_index(const std::vector<std::string>& names, std::string_view name, std::uint32_t& index) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  index = static_cast<std::uint32_t>(it - names.begin());
+  return it != names.end();
+}
+
+// The names that a request's list may hold, as bits; 0 for one that is not known here and just passed on.
+constexpr unsigned kClass = 1, kPlan = 2, kWait = 4, kKey = 8, kUnits = 16, kSpread = 32, kFirst = 64;
+constexpr unsigned kAgain = 128;
+constexpr unsigned kNeeded = kClass | kPlan | kWait | kUnits | kSpread | kFirst;
+
+unsigned bit_of(std::string_view name) {
+  constexpr std::pair<std::string_view, unsigned> kNames[] = {
+      {"c", kClass},     {"t", kPlan},        {"d", kWait},      {"k", kKey},
+      {"units", kUnits}, {"spread", kSpread}, {"first", kFirst}, {"r", kAgain}};
+  for (const auto& [known, bit] : kNames) {
+    if (known == name) return bit;
+  }
+  return 0;
+}
+
+bool same_word(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](char x, char y) { return (x >= 'a' && x <= 'z' ? x - 'a' + 'A' : x) == y; });
+}
+
+// The client's words, kept to be passed on; only the time left differs between attempts.
+class Order : public Command {
+ public:
+  std::size_t bytes() const override { return body.size(); }
+  std::string render(Ms left) const override {
+    std::string list = before + std::to_string(static_cast<std::int64_t>(std::max(std::floor(left), 1.0)));
+    list += after;
+    std::string request;
+    request.reserve(head.size() + list.size() + body.size() + 32);
+    append_array(request, words);
+    request += head;
+    append_bulk(request, list);
+    request += body;
+    return request;
+  }
+
+  std::string before;  // up to the time left in the list of names and values
+  std::string after;   // the rest of the list
+  std::string head;    // command, customer and id as they go out
+  std::string body;    // as it goes out, or empty
+  std::size_t words = 0;
+};
+
+}  // namespace
+
+struct Front::Parsed {
+  Request request;
+  std::uint64_t wire_id = 0;
+  Ms wait = 0;
+  std::unique_ptr<Order> order = std::make_unique<Order>();
+};
+
+Front::Front(engine::Engine& engine, Replies& replies, Names names)
+    : engine_(engine), replies_(replies), names_(std::move(names)) {}
+
+std::uint64_t Front::on_command(Ms now, Ticket ticket, std::span<const Item> words) {
+  if (words.empty()) {
+    replies_.reject(now, ticket, "ERR empty command");
+    return 0;
+  }
+  const auto verb = words[0].text;
+  if (same_word(verb, "SVC.QUERY") || same_word(verb, "SVC.SUBMIT")) return take(now, ticket, words);
+  if (same_word(verb, "PING")) {
+    std::string reply;
+    if (words.size() > 2) {
+      reply = "-ERR wrong number of arguments for 'PING'\r\n";
+    } else if (!ready_) {
+      reply = "-LOADING no host is known yet\r\n";
+    } else if (words.size() == 2) {
+      append_bulk(reply, words[1].text);
+    } else {
+      append_simple(reply, "PONG");
+    }
+    replies_.answer(now, ticket, reply);
+    return 0;
+  }
+  replies_.reject(now, ticket, "ERR unknown command '" + std::string(verb.substr(0, 64)) + "'");
+  return 0;
+}
+
+// One value of the list: the reason why it is none, or null.
+const char* Front::field(std::string_view value, unsigned bit, Parsed& parsed) const {
+  Request& q = parsed.request;
+  std::uint32_t first = 0;
+  switch (bit) {
+    case kClass:
+      return read_index(names_.classes, value, q.class_index) ? nullptr : "unknown class";
+    case kPlan:
+      return read_index(names_.plans, value, q.plan_index) ? nullptr : "unknown plan";
+    case kWait:
+      return read_number(value, parsed.wait) && parsed.wait > 0 && parsed.wait <= kLongestWait
+                 ? nullptr
+                 : "d is out of range";
+    case kKey:
+      return value.empty() || value.size() > kLongestName ? "bad key" : nullptr;
+    case kUnits:
+      return read_number(value, q.units) && q.units > 0 && q.units <= names_.largest_units * (1 + 1e-6)
+                 ? nullptr
+                 : "units is out of range";
+    case kSpread:
+      return read_number(value, q.spread) && q.spread >= 1 && q.spread <= names_.gateways
+                 ? nullptr
+                 : "spread is out of range";
+    case kFirst:
+      return read_number(value, first) && first < names_.gateways ? nullptr : "first is out of range";
+    case kAgain:
+      q.repeat = value == "1";
+      return nullptr;
+    default:
+      return nullptr;
+  }
+}
+
+// The reason why a request is none, or null.
+const char* Front::parse(std::span<const Item> words, Parsed& parsed) const {
+  if (words.size() != 4 && words.size() != 5) return "wrong number of arguments";
+  Request& q = parsed.request;
+  if (!read_hex(words[1].text, q.customer) || q.customer >= kCustomers) return "bad customer";
+  if (!read_hex(words[2].text, parsed.wire_id)) return "bad id";
+
+  unsigned seen = 0;
+  auto list = words[3].text;
+  Order& order = *parsed.order;
+  std::string* part = &order.before;
+  while (!list.empty()) {
+    const auto pair = list.substr(0, list.find(','));
+    list.remove_prefix(std::min(pair.size() + 1, list.size()));
+    const auto eq = pair.find('=');
+    if (eq == std::string_view::npos || eq == 0) return "bad list of names and values";
+    const auto name = pair.substr(0, eq), value = pair.substr(eq + 1);
+    const unsigned bit = bit_of(name);
+    if (bit != 0 && (seen & bit)) return "a name stands twice";
+    seen |= bit;
+    if (const char* why = field(value, bit, parsed)) return why;
+    if (bit == kWait) {
+      *part += "d=";
+      part = &order.after;
+    } else {
+      *part += pair;
+    }
+    if (!list.empty()) *part += ',';
+  }
+  if ((seen & kNeeded) != kNeeded) return "c, t, d, units, spread and first are needed";
+  const auto repeat = names_.repeats[q.class_index];
+  if (repeat == Repeat::kKeyed && !(seen & kKey)) return "a keyed class needs k";
+  if (same_word(words[0].text, "SVC.QUERY") != (repeat == Repeat::kSafe))
+    return "wrong command for the class";
+  for (const auto& w : words.first(3)) append_bulk(order.head, w.text);
+  if (words.size() == 5) append_bulk(order.body, words[4].text);
+  order.words = words.size();
+  return nullptr;
+}
+
+std::uint64_t Front::take(Ms now, Ticket ticket, std::span<const Item> words) {
+  Parsed parsed;
+  if (const char* why = parse(words, parsed)) {
+    replies_.reject(now, ticket, std::string("ERR ") + why);
+    return 0;
+  }
+  engine::Ask ask{parsed.request, parsed.wait, parsed.wire_id, std::move(parsed.order)};
+  RequestId name = 0;
+  switch (engine_.take(now, *this, ticket, std::move(ask), name)) {
+    case engine::Taken::kYes:
+      return name;
+    case engine::Taken::kSameId:
+      replies_.reject(now, ticket, "ERR another open request has this id");
+      return 0;
+    case engine::Taken::kNoRoom:  // nothing has been sent for it, so a refusal is lawful
+      replies_.answer(now, ticket, "-BUSY\r\n");
+      return 0;
+  }
+  return 0;
+}
+
+void Front::served(Ms now, Ticket ticket, std::string_view value) {
+  std::string reply;
+  reply.reserve(value.size() + 16);
+  append_bulk(reply, value);
+  replies_.answer(now, ticket, reply);
+}
+
+void Front::refused(Ms now, Ticket ticket, Ms retry_after) {
+  if (retry_after >= 1) {
+    const auto ms = std::to_string(static_cast<std::int64_t>(std::ceil(retry_after)));
+    replies_.answer(now, ticket, "-BUSY " + ms + "\r\n");
+  } else {
+    replies_.answer(now, ticket, "-BUSY\r\n");
+  }
+}
+
+void Front::failed(Ms now, Ticket ticket, engine::Failure why) {
+  switch (why) {
+    case engine::Failure::kTimedOut:
+      return replies_.answer(now, ticket, "-ERR timed out\r\n");
+    case engine::Failure::kStopping:
+      return replies_.answer(now, ticket, "-ERR stopping\r\n");
+    case engine::Failure::kGivenUp:
+    case engine::Failure::kInternal:
+      return replies_.answer(now, ticket, "-ERR failed\r\n");
+  }
+}
+
+LoadReport read_report(std::string_view text, LoadField (*field_of)(std::string_view)) {
+  LoadReport load;
+  while (!text.empty()) {
+    const auto pair = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(pair.size() + 1, text.size()));
+    const auto eq = pair.find('=');
+    double v = 0;
+    if (eq == std::string_view::npos || !read_number(pair.substr(eq + 1), v) ||
+        !(v >= 0 && v <= kMostReported))
+      continue;
+    switch (field_of(pair.substr(0, eq))) {
+      case LoadField::kQueue:
+        load.queue = v;
+        break;
+      case LoadField::kInHand:
+        load.in_hand = v;
+        break;
+      case LoadField::kBusy:
+        load.busy = v;
+        break;
+      case LoadField::kOther:
+        break;
+    }
+  }
+  return load;
+}
+
+}  // namespace thistlepond::resp
--- /dev/null
+++ b/src/resp/front.h
@@ -0,0 +1,64 @@
+// The front end that speaks RESP2: commands to requests for the engine, its answers to replies. Pure.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "client_link.h"
+#include "engine.h"
+#include "host_pool.h"
+
+namespace thistlepond::resp {
+
+// How clients name things, and what they may ask.
+struct Names {
+  std::vector<std::string> classes, plans;
+  std::vector<Repeat> repeats;  // of the classes
+  double gateways = 1;
+  double largest_units = 1;
+};
+
+// Where replies go: the table of client connections.
+class Replies {
+ public:
+  virtual ~Replies() = default;
+  // `reply` is one whole RESP value. Does nothing if the client is gone. Calls nobody back.
+  virtual void answer(Ms now, Ticket ticket, std::string_view reply) = 0;
+  virtual void reject(Ms now, Ticket ticket, std::string_view why) = 0;
+};
+
+class Front : public engine::FrontEnd {
+ public:
+  Front(engine::Engine& engine, Replies& replies, Names names);
+
+  // A command of a client: returns what to name in `Engine::gone`, or 0.
+  std::uint64_t on_command(Ms now, Ticket ticket, std::span<const Item> words);
+  // PING is answered with PONG from here on.
+  void set_ready() { ready_ = true; }
+
+  void served(Ms now, Ticket ticket, std::string_view value) override;
+  void refused(Ms now, Ticket ticket, Ms retry_after) override;
+  void failed(Ms now, Ticket ticket, engine::Failure why) override;
+
+ private:
+  struct Parsed;
+  std::uint64_t take(Ms now, Ticket ticket, std::span<const Item> words);
+  const char* parse(std::span<const Item> words, Parsed& parsed) const;
+  const char* field(std::string_view value, unsigned bit, Parsed& parsed) const;
+
+  engine::Engine& engine_;
+  Replies& replies_;
+  Names names_;
+  bool ready_ = false;
+};
+
+// A host's load report as text, `name=number` with commas between; `field_of` tells what a name means. What
+// can't be read or is out of range is left out.
+LoadReport read_report(std::string_view text, LoadField (*field_of)(std::string_view));
+
+}  // namespace thistlepond::resp
--- /dev/null
+++ b/src/resp/host_pool.h
@@ -0,0 +1,93 @@
+// The hosts' side on RESP2: a pool of connections for each host, and the attempts out on them. Does no I/O:
+// streams are dialled through `Dialer`, time comes in with each call.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "engine.h"
+#include "resp.h"
+#include "stream.h"
+
+namespace thistlepond::resp {
+
+using engine::AttemptId;
+using engine::StartResult;
+
+// A request as it goes out to hosts on RESP2. What `HostPool::start` gets as payload must be one.
+class Command : public engine::Payload {
+ public:
+  // The whole command; `left` is what the host is told of the time left, in milliseconds, at least 1.
+  virtual std::string render(Ms left) const = 0;
+};
+
+class HostEvents {
+ public:
+  virtual ~HostEvents() = default;
+  // Exactly once for each attempt that was started and neither abandoned nor withdrawn. `value` is there
+  // with `kOk`; `report` is the host's load report as it came, or empty. Both last until the call returns.
+  virtual void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
+                              std::string_view report) = 0;
+};
+
+struct PoolLimits {
+  Ms connect_timeout = 250;
+  Ms idle_limit = 15'000;         // a host closes a connection that has stood idle for so long
+  std::size_t connections = 400;  // over all hosts
+  std::size_t per_host = 96;
+  std::size_t idle_per_host = 16;
+  Ms rest = 0;  // of a connection after an answer, before it is used again
+};
+
+// One attempt is out on a connection at a time: giving one up means to close its connection, and an answer
+// that waits behind another's would miss its aim.
+class HostPool : public engine::HostSide {
+ public:
+  using Log = std::function<void(std::string_view what, std::string_view detail)>;
+
+  HostPool(Dialer& dialer, HostEvents& events, const PoolLimits& limits, Log log);
+  ~HostPool() override;
+
+  // A host to send to, from now on at this address. A change of address or of process drops idle connections.
+  void add(HostId host, const Address& at, Ms started_at);
+
+  StartResult start(Ms now, AttemptId attempt, HostId host, const engine::Payload& payload, Ms left) override;
+  StartResult start(Ms now, AttemptId attempt, HostId host, std::string request);
+  void abandon(Ms now, AttemptId attempt) override;
+  bool withdraw(Ms now, AttemptId attempt) override;
+  void retire(Ms now, HostId host) override;
+
+  // Closes what has stood idle for too long and forgets hosts that are done with. To be called a few times a
+  // second.
+  void sweep(Ms now);
+  void close_all();
+
+  std::size_t connections() const { return links_; }
+  std::size_t known() const { return pools_.size() + leaving_.size(); }
+  void digest(engine::Digest& into) const;
+
+ private:
+  class Link;
+  struct Pool;
+
+  void ended(Ms now, AttemptId attempt, Outcome outcome, std::string_view value, std::string_view report);
+  bool drop_an_idle_link();
+  std::shared_ptr<Link> take_rested(Ms now, Pool& pool);
+
+  Dialer& dialer_;
+  HostEvents& events_;
+  PoolLimits limits_;
+  Log log_;
+  std::unordered_map<HostId, std::shared_ptr<Pool>> pools_;
+  std::unordered_map<HostId, std::shared_ptr<Pool>> leaving_;  // retired, with attempts still out
+  std::unordered_map<AttemptId, std::shared_ptr<Link>> out_;
+  std::size_t links_ = 0;
+};
+
+}  // namespace thistlepond::resp
--- a/src/net/resp.cpp
+++ b/src/resp/resp.cpp
@@ -5,7 +5,7 @@
 #include <cstring>
 #include <optional>
 
-namespace thistlepond::net::resp {
+namespace thistlepond::resp {
 namespace {
 
 constexpr std::size_t kFirstBuffer = 2048;
@@ -166,4 +166,4 @@
   out += "\r\n";
 }
 
-}  // namespace thistlepond::net::resp
+}  // namespace thistlepond::resp
--- /dev/null
+++ b/src/resp/stream.h
@@ -0,0 +1,65 @@
+// A byte stream as the connection state machines see it: non-blocking, with what happens told as events. The
+// sockets of `src/net/` are one kind, the explorer's simulated ones another.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "thistlepond/control.h"
+
+namespace thistlepond::resp {
+
+// Where a host listens, in words: an IP address and a port.
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;
+  bool operator==(const Address&) const = default;
+};
+
+// What a stream tells. A stream keeps its listener alive for as long as an event may still come. Each of
+// `on_read`, `on_writable` and `on_later` comes once for each call that asked for it, not from inside it, and
+// may still come after `close`.
+class StreamEvents : public std::enable_shared_from_this<StreamEvents> {
+ public:
+  virtual ~StreamEvents() = default;
+  virtual void on_connected(Ms now, bool up) = 0;  // once, for a stream that was dialled
+  virtual void on_read(Ms now, std::size_t bytes, bool ended) = 0;
+  virtual void on_writable(Ms now, bool ok) = 0;
+  virtual void on_later(Ms now) = 0;
+};
+
+class Stream {
+ public:
+  struct Written {
+    std::size_t bytes = 0;
+    bool blocked = false;  // no room now: `await_writable` tells when there is
+    bool broken = false;   // the other side is gone
+  };
+  virtual ~Stream() = default;
+  virtual Written write(std::string_view bytes) = 0;
+  virtual void await_writable() = 0;
+  // `space` must stay where it is until `on_read`.
+  virtual void read(std::span<char> space) = 0;
+  virtual void later() = 0;
+  // Bytes that have come and are not read yet.
+  virtual std::size_t unread() = 0;
+  // Nothing has come that is not read yet, and the other side has not ended.
+  virtual bool quiet() = 0;
+  virtual void shut_send() = 0;
+  virtual void close() = 0;
+};
+
+class Dialer {
+ public:
+  virtual ~Dialer() = default;
+  // Null if there is no socket to be had. `timeout` in milliseconds; then the stream counts as not up.
+  virtual std::unique_ptr<Stream> dial(const Address& at, Ms timeout, StreamEvents& events) = 0;
+  // Asked when a socket can't be had: makes room elsewhere if it can.
+  virtual bool make_room() = 0;
+};
+
+}  // namespace thistlepond::resp
--- a/tests/hosts_test.cpp
+++ b/tests/hosts_test.cpp
@@ -15,7 +15,8 @@
 struct Ends : HostEvents {
   std::map<AttemptId, std::vector<Outcome>> seen;
   std::map<AttemptId, std::string> values;
-  void on_attempt_end(AttemptId attempt, Outcome outcome, std::string_view value, std::string_view) override {
+  void on_attempt_end(Ms, AttemptId attempt, Outcome outcome, std::string_view value,
+                      std::string_view) override {
     seen[attempt].push_back(outcome);
     values[attempt] = value;
   }
@@ -27,6 +28,7 @@
   Ends ends;
   Hosts hosts;
   explicit Bench(PoolLimits limits = {}) : hosts(io, clock, ends, limits) {}
+  resp::HostPool& pool() { return hosts.pool(); }
   void add(HostId id, int port) {
     hosts.add(id, {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, 0);
   }
@@ -46,7 +48,7 @@
     Listener host;
     Bench bench;
     bench.add(1, host.port());
-    ASSERT_EQ(bench.hosts.start(1, 1, kLarge), StartResult::kStarted);
+    ASSERT_EQ(bench.pool().start(bench.clock.now(), 1, 1, kLarge), StartResult::kStarted);
     std::thread peer([&] {
       auto at = host.accept();
       at.exactly(whole ? kLarge.size() : 1);
@@ -56,7 +58,7 @@
     peer.join();
     bench.io.poll();
     EXPECT_EQ(bench.ends.seen[1].size(), 1u);  // once
-    EXPECT_EQ(bench.hosts.connections(), 0u);
+    EXPECT_EQ(bench.pool().connections(), 0u);
   }
 }
 
@@ -66,7 +68,7 @@
   bench.add(1, host.port());
   bench.add(2, gone.port());
   gone.close();
-  ASSERT_EQ(bench.hosts.start(1, 2, "x"), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 1, 2, "x"), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(1), Outcome::kConnectFailed);
   std::thread peer([&] {
     auto at = host.accept();
@@ -75,9 +77,9 @@
     at.command();
     at.send("-ERR failed\r\n");
   });
-  ASSERT_EQ(bench.hosts.start(2, 1, query(1)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 2, 1, query(1)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(2), Outcome::kFull);
-  ASSERT_EQ(bench.hosts.start(3, 1, query(2)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 3, 1, query(2)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(3), Outcome::kError);
   peer.join();
 }
@@ -86,10 +88,10 @@
   Listener host;
   Bench bench;
   bench.add(1, host.port());
-  ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
-  bench.hosts.abandon(1);
-  EXPECT_EQ(bench.hosts.connections(), 0u);
-  ASSERT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 1, 1, query(1)), StartResult::kStarted);
+  bench.pool().abandon(bench.clock.now(), 1);
+  EXPECT_EQ(bench.pool().connections(), 0u);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 2, 1, query(2)), StartResult::kStarted);
   std::thread peer([&] {
     for (;;) {
       auto at = host.accept();
@@ -100,7 +102,7 @@
     }
   });
   EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
-  bench.hosts.close_all();
+  bench.pool().close_all();
   peer.join();
   EXPECT_FALSE(bench.ends.seen.contains(1));
 }
@@ -122,12 +124,12 @@
     second.send(served("two"));
     EXPECT_TRUE(first.ends());
   });
-  ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 1, 1, query(1)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(1), Outcome::kOk);
-  ASSERT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 2, 1, query(2)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
   EXPECT_EQ(bench.ends.values[2], "two");
-  while (bench.hosts.connections() > 1) bench.io.run_one();
+  while (bench.pool().connections() > 1) bench.io.run_one();
   peer.join();
 }
 
@@ -137,7 +139,7 @@
   PoolLimits limits;
   Bench bench(limits);
   bench.add(1, host.port());
-  ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 1, 1, query(1)), StartResult::kStarted);
   std::optional<Peer> first;
   std::thread peer([&] {
     first.emplace(host.accept());
@@ -153,10 +155,10 @@
     second.send(served("two"));
     second.ends();
   });
-  ASSERT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
+  ASSERT_EQ(bench.pool().start(bench.clock.now(), 2, 1, query(2)), StartResult::kStarted);
   EXPECT_EQ(bench.wait_for(2), Outcome::kOk);
   EXPECT_EQ(bench.ends.values[2], "two");
-  bench.hosts.close_all();
+  bench.pool().close_all();
   next.join();
 }
 
@@ -166,14 +168,14 @@
   limits.connections = 2;
   Bench bench(limits);
   bench.add(1, host.port());
-  EXPECT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
-  EXPECT_EQ(bench.hosts.start(2, 1, query(2)), StartResult::kStarted);
-  EXPECT_EQ(bench.hosts.start(3, 1, query(3)), StartResult::kNoRoomHere);
-  bench.hosts.retire(1);  // both still wait for their connections
+  EXPECT_EQ(bench.pool().start(bench.clock.now(), 1, 1, query(1)), StartResult::kStarted);
+  EXPECT_EQ(bench.pool().start(bench.clock.now(), 2, 1, query(2)), StartResult::kStarted);
+  EXPECT_EQ(bench.pool().start(bench.clock.now(), 3, 1, query(3)), StartResult::kNoRoomHere);
+  bench.pool().retire(bench.clock.now(), 1);  // both still wait for their connections
   EXPECT_EQ(bench.ends.seen[1].at(0), Outcome::kConnectFailed);
   EXPECT_EQ(bench.ends.seen[2].at(0), Outcome::kConnectFailed);
-  EXPECT_EQ(bench.hosts.start(4, 1, query(4)), StartResult::kNoHost);
-  EXPECT_EQ(bench.hosts.start(5, 9, query(5)), StartResult::kNoHost);
+  EXPECT_EQ(bench.pool().start(bench.clock.now(), 4, 1, query(4)), StartResult::kNoHost);
+  EXPECT_EQ(bench.pool().start(bench.clock.now(), 5, 9, query(5)), StartResult::kNoHost);
 }
 
 // Hosts come and go under ever new ids; what is out at one that leaves is still answered.
@@ -183,7 +185,7 @@
   for (HostId id = 1; id <= 500; ++id) {
     bench.add(id, host.port());
     if (id == 1) {
-      ASSERT_EQ(bench.hosts.start(1, 1, query(1)), StartResult::kStarted);
+      ASSERT_EQ(bench.pool().start(bench.clock.now(), 1, 1, query(1)), StartResult::kStarted);
       std::thread peer([&] {
         auto at = host.accept();
         at.command();
@@ -191,17 +193,17 @@
         at.ends();
       });
       EXPECT_EQ(bench.wait_for(1), Outcome::kOk);
-      bench.hosts.retire(id);
+      bench.pool().retire(bench.clock.now(), id);
       peer.join();
     } else {
-      bench.hosts.retire(id);
+      bench.pool().retire(bench.clock.now(), id);
     }
   }
-  while (bench.hosts.known() > 0) {
+  while (bench.pool().known() > 0) {
     bench.clock.new_batch();
     bench.io.run_one();
   }
-  EXPECT_EQ(bench.hosts.connections(), 0u);
+  EXPECT_EQ(bench.pool().connections(), 0u);
 }
 
 TEST(Numbers, AHostsNumberComesFromItsUidAlone) {
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace thistlepond::net::resp {
+namespace thistlepond::resp {
 namespace {
 
 void feed(Reader& reader, std::string_view text) {
@@ -121,4 +121,4 @@
 }
 
 }  // namespace
-}  // namespace thistlepond::net::resp
+}  // namespace thistlepond::resp
