The five rules as monitors, and an explorer that plays every interleaving

Ordinary tests reach few of the interleavings of timers, answers, drains and restarts.

src/rules/ judges what goes over the wires and knows nothing of the engine's tables. src/explore/ runs the real engine, host pool, client connections and front end in simulated time: breadth first, states told by fingerprint and reached again by replay, troubles and slow peers bounded. The module is played by the real one and by one that decides anything.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -30,8 +30,10 @@
 template <class Call>
 void Engine::consult(RequestId about, Call&& call) {
   in_module_ = true;
+  threw_ = true;
   try {
     call();
+    threw_ = false;
   } catch (const std::exception& error) {
     note_("the module threw", error.what());
     if (about != 0) faulted_.push_back(about);
@@ -46,8 +48,9 @@
   now_ = now;
   // The module first: what a retired host's waiting attempts come to is decided with the new list.
   consult(0, [&] { module_.on_list(now, kind, entries, *this); });
+  const bool skip = threw_ && mutant(Mutant::kSkipsRetireOnThrow);
   for (const auto& e : entries) {
-    if (e.state != HostState::kReady) hosts_.retire(now, e.id);
+    if (e.state != HostState::kReady && !skip) hosts_.retire(now, e.id);
   }
   after_module();
 }
@@ -59,7 +62,7 @@
   name = 0;
   // Danger: two requests of one id would be one at the hosts, and one's answer could be taken for the
   // other's.
-  if (open_identities_.contains(ask.identity)) return Taken::kSameId;
+  if (open_identities_.contains(ask.identity) && !mutant(Mutant::kSharesIdentity)) return Taken::kSameId;
   const std::size_t bytes = ask.payload->bytes();
   if (owed_ >= limits_.open || held_bytes_ + bytes > limits_.bytes) return Taken::kNoRoom;
   const RequestId id = ++last_request_;
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -219,6 +219,7 @@
   std::vector<RequestId> settled_;  // in this call: what waits for them is withdrawn at its end
   std::vector<RequestId> faulted_;  // the module threw when asked about them
   bool in_module_ = false, finishing_ = false;
+  bool threw_ = false;  // the module, when it was last asked
   RequestId last_request_ = 0;
   AttemptId last_attempt_ = 0;
   std::size_t held_bytes_ = 0;
--- a/src/engine/faults.h
+++ b/src/engine/faults.h
@@ -16,12 +16,15 @@
   kForgetsDeadline,       // no timer for a request's time
   kLosesThrownRequest,    // a request whose module call threw is dropped unanswered
   kServesSpoilt,          // a spoilt answer is passed on as a value
-  kKeepsReplacedLinks,    // idle connections outlive the process they were made to
+  kSkipsRetireOnThrow,    // a module that throws on a list keeps drained hosts in use
+  kSharesIdentity,        // two open requests may have one identity
   kAnswersOutOfOrder,     // answers on one client connection go out as they come
   kStopsWithoutSettling,  // the stop leaves open requests unanswered
   kReportsEndTwice,       // the module is told of one end twice
 };
 
+constexpr int kMutants = 16;  // with kNone
+
 #ifdef THISTLEPOND_MUTANTS
 inline thread_local Mutant active_mutant = Mutant::kNone;
 inline bool mutant(Mutant which) { return active_mutant == which; }
--- /dev/null
+++ b/src/explore/explorer.h
@@ -0,0 +1,51 @@
+// Breadth-first search over all runs of a scenario. A state is told by its fingerprint and reached again by
+// playing its path from the start, so nothing needs to be copied; the first breach found is among the
+// shortest.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chooser.h"
+#include "faults.h"
+#include "rules.h"
+#include "scenario.h"
+
+namespace thistlepond::explore {
+
+struct Result {
+  std::size_t states = 0;       // told apart by their fingerprints
+  std::size_t transitions = 0;  // events played from them
+  std::size_t deepest = 0;      // events in the longest run without a state seen before
+  std::size_t ends = 0;         // runs after which nothing can happen
+  std::size_t cut_off = 0;      // states not followed further: as deep as the scenario allows
+  bool complete = true;         // false: `most_states` was reached
+  double seconds = 0;
+  std::optional<rules::Breach> breach;
+  std::vector<std::string> trace;  // the choices that lead to it, by name
+  std::size_t trace_events = 0;
+};
+
+struct Effort {
+  unsigned threads = 2;
+  std::size_t most_states = 20'000'000;
+};
+
+// Ends at the first layer with a breach.
+Result explore(const Scenario& scenario, engine::Mutant mutant, const Effort& effort);
+
+// Plays choices by name and reports each event and action through `say`. Nothing is returned if no rule is
+// broken. Throws std::runtime_error if the trace does not fit the scenario.
+std::optional<rules::Breach> replay(const Scenario& scenario, engine::Mutant mutant,
+                                    const std::vector<std::string>& trace,
+                                    const std::function<void(const std::string&)>& say);
+
+// The mutants by name.
+std::string name_of(engine::Mutant mutant);
+std::optional<engine::Mutant> mutant_named(const std::string& name);
+void set_mutant(engine::Mutant mutant);  // of this thread; throws if mutants are not built in
+
+}  // namespace thistlepond::explore
--- /dev/null
+++ b/src/explore/trace.cpp
@@ -0,0 +1,88 @@
+#include "trace.h"
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <stdexcept>
+
+#include "explorer.h"
+
+namespace thistlepond::explore {
+namespace json = boost::json;
+
+std::string to_text(const Trace& trace) {
+  const Scenario& s = trace.scenario;
+  json::array requests;
+  for (const auto r : s.requests) requests.push_back(static_cast<int>(r));
+  const json::object head{{"scenario", s.name},
+                          {"faults", s.faults},
+                          {"hosts", s.hosts},
+                          {"requests", requests},
+                          {"depth", s.depth},
+                          {"module_acts", s.module_acts},
+                          {"mutant", name_of(trace.mutant)}};
+  std::string text = json::serialize(head) + "\n";
+  for (const auto& choice : trace.choices) text += json::serialize(json::object{{"choice", choice}}) + "\n";
+  if (!trace.breach.rule.empty()) {
+    text += json::serialize(json::object{{"rule", trace.breach.rule}, {"why", trace.breach.why}}) + "\n";
+  }
+  return text;
+}
+
+void write_trace(const std::string& path, const Trace& trace) {
+  std::ofstream file(path);
+  file << to_text(trace);
+  if (!file.flush()) throw std::runtime_error(path + ": can't be written");
+}
+
+namespace {
+
+std::string text_at(const json::object& o, const char* key) { return std::string(o.at(key).as_string()); }
+
+void read_head(const json::object& o, Trace& trace) {
+  const auto all = scenarios(false);
+  const auto* found = find_scenario(all, text_at(o, "scenario"));
+  if (!found) throw std::runtime_error("no such scenario; cometfold-explore --list names them");
+  trace.scenario = *found;
+  Scenario& s = trace.scenario;
+  s.faults = o.at("faults").to_number<int>();
+  s.hosts = o.at("hosts").to_number<std::size_t>();
+  s.depth = o.at("depth").to_number<std::size_t>();
+  s.module_acts = o.at("module_acts").to_number<int>();
+  s.requests.clear();
+  for (const auto& r : o.at("requests").as_array())
+    s.requests.push_back(static_cast<Repeat>(r.to_number<int>()));
+  const auto mutant = mutant_named(text_at(o, "mutant"));
+  if (!mutant) throw std::runtime_error("no such mutant; cometfold-explore --list names them");
+  trace.mutant = *mutant;
+}
+
+}  // namespace
+
+Trace read_trace(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ": can't be read");
+  Trace trace;
+  std::size_t number = 0;
+  for (std::string line; std::getline(file, line);) {
+    ++number;
+    try {
+      const auto o = json::parse(line).as_object();
+      if (number == 1) {
+        read_head(o, trace);
+      } else if (o.contains("choice")) {
+        trace.choices.push_back(text_at(o, "choice"));
+      } else {
+        trace.breach = {text_at(o, "rule"), text_at(o, "why")};
+      }
+    } catch (const std::exception& error) {
+      throw std::runtime_error(
+          path + ":" + std::to_string(number) + ": " + error.what() +
+          " (a trace has a line with the scenario, then one choice a line, then the rule)");
+    }
+  }
+  if (number == 0)
+    throw std::runtime_error(path + ": empty; a trace begins with a line that names its scenario");
+  return trace;
+}
+
+}  // namespace thistlepond::explore
--- /dev/null
+++ b/src/explore/trace.h
@@ -0,0 +1,26 @@
+// A counterexample as a file: JSON lines, the first with the scenario, then one for each choice, the last
+// with the rule broken.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "faults.h"
+#include "rules.h"
+#include "scenario.h"
+
+namespace thistlepond::explore {
+
+struct Trace {
+  Scenario scenario;
+  engine::Mutant mutant = engine::Mutant::kNone;
+  std::vector<std::string> choices;
+  rules::Breach breach;  // empty texts if none
+};
+
+std::string to_text(const Trace& trace);
+void write_trace(const std::string& path, const Trace& trace);
+// Throws std::runtime_error with the file, the line and what would be right.
+Trace read_trace(const std::string& path);
+
+}  // namespace thistlepond::explore
--- /dev/null
+++ b/src/explore/world.h
@@ -0,0 +1,142 @@
+// One gateway's real engine, host pool, client connections and RESP2 front end between simulated clients,
+// hosts and streams, under simulated time. Every free decision is the chooser's.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chooser.h"
+#include "client_link.h"
+#include "engine.h"
+#include "front.h"
+#include "host_pool.h"
+#include "rules.h"
+#include "scenario.h"
+
+namespace thistlepond::explore {
+
+class World : private resp::Dialer,
+              private resp::HostEvents,
+              public resp::ClientOwner,
+              private resp::Replies {
+ public:
+  using Log = std::function<void(const std::string&)>;
+
+  World(const Scenario& scenario, Chooser& chooser, Log log = {});
+  ~World() override;
+
+  // One event, chosen. False if nothing can happen any more, or the depth is reached.
+  bool step();
+  // The first rule broken so far, or a promise of the engine's own; empty if none.
+  const std::optional<rules::Breach>& breach() const { return breach_; }
+  bool cut_off() const { return cut_off_; }  // the depth ended it, not the world
+  std::uint64_t fingerprint() const;
+
+ private:
+  class SimStream;
+  class AnyModule;
+  class TapModule;
+  struct Conn;
+  struct Client;
+  struct Node;  // the gateway: all that a crash takes with it
+  enum Reply : std::size_t;
+  enum Change : std::size_t;
+  // Something that can happen next. `text` names it, with {c} for the connection, {r} for its request, {h}
+  // for its host and {n} for `n`.
+  struct Option {
+    const char* text;
+    bool fault;
+    void (World::*act)(const Option&);
+    Conn* conn = nullptr;
+    std::size_t n = 0;
+    std::size_t k = 0;
+  };
+
+  // resp::Dialer
+  std::unique_ptr<resp::Stream> dial(const resp::Address& at, Ms timeout,
+                                     resp::StreamEvents& events) override;
+  bool make_room() override { return false; }
+  // resp::HostEvents
+  void on_attempt_end(Ms now, engine::AttemptId attempt, Outcome outcome, std::string_view value,
+                      std::string_view report) override;
+  // resp::ClientOwner, resp::Replies
+  std::uint64_t on_command(Ms now, resp::Ticket ticket, std::span<const resp::Item> words) override;
+  void on_client_gone(Ms now, std::uint64_t name) override;
+  void on_closed(std::uint64_t id) override;
+  void answer(Ms now, resp::Ticket ticket, std::string_view reply) override;
+  void reject(Ms now, resp::Ticket ticket, std::string_view why) override;
+
+  void begin();
+  void list(ListKind kind, std::vector<HostEntry> entries);
+  void options(std::vector<Option>& all);
+  void client_options(std::vector<Option>& all);
+  void host_options(std::vector<Option>& all);
+  void answer_options(std::vector<Option>& all, Conn* conn);
+  void list_options(std::vector<Option>& all);
+  void time_options(std::vector<Option>& all);
+  std::string label(const Option& option) const;
+
+  // What options do.
+  void client_sends(const Option& o);
+  void client_closes(const Option& o);
+  void loop_comes_back(const Option& o);
+  void room_to_write(const Option& o);
+  void comes_up(const Option& o);
+  void never_up(const Option& o);
+  void stalls(const Option& o);
+  void loop_reads(const Option& o);
+  void noise_arrives(const Option& o);
+  void host_closes(const Option& o);
+  void host_answers(const Option& o);
+  void list_changes(const Option& o);
+  void reloads(const Option& o);
+  void crashes(const Option& o);
+  void stop_begins(const Option& o);
+  void stop_winds_down(const Option& o);
+  void stop_settles(const Option& o);
+  void timers_run(const Option& o);
+  void time_passes(const Option& o);
+
+  void connect_client(std::size_t i);
+  void deliver(Conn& conn, const std::string& bytes);
+  void end_stream(Conn& conn);
+  void host_reads(Conn& conn);
+  void client_reads(Conn& conn);
+  void over(Conn& conn, bool never_ran);
+  bool anything_open() const;
+  bool anything_prompt() const;
+  std::optional<Ms> next_time() const;
+  void final_checks();
+  void report(rules::Event event);
+  void complain(const std::string& rule, const std::string& why);
+  void say(const std::string& text);
+
+  Scenario scenario_;
+  Settings settings_;
+  Chooser& chooser_;
+  Log log_;
+  Ms now_ = 14'400'000;
+  std::vector<Option> options_;
+  std::size_t steps_ = 0;
+  int faults_left_ = 0;
+  bool cut_off_ = false;
+  rules::Rules rules_;
+  std::size_t breaches_seen_ = 0;
+  std::optional<rules::Breach> breach_;
+  engine::Digest told_;  // all that the module has been told
+  std::vector<HostEntry> listed_;
+  std::vector<std::shared_ptr<Conn>> conns_;
+  std::vector<Client> clients_;
+  std::unique_ptr<Node> node_;
+  std::uint64_t last_conn_ = 0;
+  std::uint32_t life_ = 0;  // of the gateway
+  bool winding_down_ = false;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> answered_;  // places at the front end
+};
+
+}  // namespace thistlepond::explore
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -237,7 +237,7 @@
     leaving_.erase(back);
   }
   if (!pool) pool = std::make_shared<Pool>();
-  if ((pool->at != at || pool->started_at != started_at) && !mutant(Mutant::kKeepsReplacedLinks)) {
+  if (pool->at != at || pool->started_at != started_at) {
     for (const auto& link : std::vector(pool->idle)) link->close();
   }
   pool->at = at;
