--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -183,7 +183,7 @@
     return;
   }
   it->second.answered = true;
-  open_identities_.erase(it->second.identity);
+  if (!mutant(Mutant::kKeepsIdentity)) open_identities_.erase(it->second.identity);
   --owed_;
   settled_.push_back(id);
   answer(*it->second.front, it->second.ticket);
--- a/src/engine/faults.h
+++ b/src/engine/faults.h
@@ -20,10 +20,11 @@
   kSharesIdentity,        // two open requests may have one identity
   kAnswersOutOfOrder,     // answers on one client connection go out as they come
   kStopsWithoutSettling,  // the stop leaves open requests unanswered
+  kKeepsIdentity,         // an id stays taken after its request's answer
   kReportsEndTwice,       // the module is told of one end twice
 };
 
-constexpr int kMutants = 16;  // with kNone
+constexpr int kMutants = 17;  // with kNone
 
 #ifdef THISTLEPOND_MUTANTS
 inline thread_local Mutant active_mutant = Mutant::kNone;
--- a/src/explore/explorer.h
+++ b/src/explore/explorer.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
   std::size_t deepest = 0;      // events in the longest run without a state seen before
   std::size_t ends = 0;         // runs after which nothing can happen
   std::size_t cut_off = 0;      // states not followed further: as deep as the scenario allows
+  std::uint32_t sights = 0;     // see world.h: what some run has been through
   bool complete = true;         // false: `most_states` was reached
   double seconds = 0;
   std::optional<rules::Breach> breach;
@@ -37,11 +39,16 @@
 // Ends at the first layer with a breach.
 Result explore(const Scenario& scenario, engine::Mutant mutant, const Effort& effort);
 
-// Plays choices by name and reports each event and action through `say`. Nothing is returned if no rule is
-// broken. Throws std::runtime_error if the trace does not fit the scenario.
+// Whether a trace must fit to its end. One found with a mutant need not fit the sound engine, which goes
+// another way from the fault on: what does not fit is played as the plain end then.
+enum class Fit : std::uint8_t { kStrict, kAsFarAsItGoes };
+
+// Plays choices by name, then the plain end, and reports each event and action through `say`. Nothing is
+// returned if no rule is broken. Throws std::runtime_error if a strict trace does not fit the scenario.
 std::optional<rules::Breach> replay(const Scenario& scenario, engine::Mutant mutant,
                                     const std::vector<std::string>& trace,
-                                    const std::function<void(const std::string&)>& say);
+                                    const std::function<void(const std::string&)>& say,
+                                    Fit fit = Fit::kStrict);
 
 // The mutants by name.
 std::string name_of(engine::Mutant mutant);
--- a/src/explore/main.cpp
+++ b/src/explore/main.cpp
@@ -9,6 +9,7 @@
 
 #include "explorer.h"
 #include "trace.h"
+#include "world.h"
 
 namespace {
 
@@ -30,6 +31,18 @@
   std::fflush(stdout);
 }
 
+// What the scenarios were through, with the first that was.
+void print_sights(const std::vector<std::pair<std::string, Sights>>& seen) {
+  std::printf("\n%-60s %s\n", "been through", "in");
+  for (unsigned i = 0; i < static_cast<unsigned>(Sight::kCount); ++i) {
+    std::string where;
+    for (const auto& [name, sights] : seen) {
+      if (sights >> i & 1) where += " " + name;
+    }
+    std::printf("%-60s%s\n", name_of(static_cast<Sight>(i)), where.empty() ? " nowhere" : where.c_str());
+  }
+}
+
 int run_replay(const std::string& file) {
   const Trace trace = read_trace(file);
   const auto breach = replay(trace.scenario, trace.mutant, trace.choices,
@@ -91,10 +104,12 @@
     }
     print_head();
     std::size_t missed = 0, broken = 0;
+    std::vector<std::pair<std::string, Sights>> seen;
     for (const auto m : mutants) {
       bool found = false;
       for (const auto& s : all) {
         const Result r = explore(s, m, effort);
+        seen.emplace_back(s.name, r.sights);
         if (!hunt || r.breach) print_result(s, m, r);
         if (!r.breach) continue;
         found = true;
@@ -109,6 +124,7 @@
         std::printf("%-24s %-24s NOT FOUND\n", "-", name_of(m).c_str());
       }
     }
+    if (!hunt) print_sights(seen);
     return hunt ? missed > 0 : broken > 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cometfold-explore: %s\n", error.what());
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -101,6 +101,7 @@
   std::string sent;           // by the gateway, of the request that is being written
   std::uint64_t request = 0;  // whose bytes those are
   bool whole = false;         // it has come whole and has no answer
+  std::size_t number = 0;     // of the request's sends, from 1
 };
 
 struct World::Client {
@@ -309,6 +310,8 @@
       if (picked.kind == Act::kRefuse) out.refuse(r, 10);
       if (picked.kind == Act::kFail) out.fail(r);
       if (picked.kind == Act::kCancel) out.cancel(r, picked.which);
+      world_.saw(Sight::kModuleThrew, picked.kind == Act::kThrow);
+      world_.saw(Sight::kSentAfterEnd, picked.kind != Act::kCancel && world_.answered_at_.contains(r));
       if (picked.kind == Act::kThrow) throw std::runtime_error("as chosen");
     }
   }
@@ -358,8 +361,64 @@
   std::map<std::uint64_t, std::shared_ptr<resp::ClientLink>> links;
 };
 
+const char* name_of(Sight sight) {
+  switch (sight) {
+    case Sight::kSecondCopyOut:
+      return "a second copy out";
+    case Sight::kThirdAttempt:
+      return "a third attempt";
+    case Sight::kAnswerAfterRetry:
+      return "an earlier attempt answered after a retry";
+    case Sight::kLossBeforeRetry:
+      return "an attempt lost after its last byte";
+    case Sight::kDrainWhileWaiting:
+      return "a drain told while an attempt waits for its connection";
+    case Sight::kDrainDuringResend:
+      return "a drain told during a resend";
+    case Sight::kReplacedWhileWaiting:
+      return "a host replaced at its address while an attempt waits";
+    case Sight::kAnswerAtDeadline:
+      return "an answer at the deadline, before its timer";
+    case Sight::kDeadlineBeforeAnswer:
+      return "a deadline's timer with an attempt out";
+    case Sight::kGoneWithAttemptOut:
+      return "a client gone with an attempt out";
+    case Sight::kGoneAfterAnswerAtOnce:
+      return "a client gone at the instant of its answer";
+    case Sight::kStopWithSecondCopy:
+      return "a stop with a second copy out";
+    case Sight::kCrashWithAttemptOut:
+      return "a crash with an attempt out";
+    case Sight::kIdUsedAgain:
+      return "an id used again after its answer";
+    case Sight::kModuleThrew:
+      return "the module threw";
+    case Sight::kSentAfterEnd:
+      return "the module sent or answered after the end";
+    case Sight::kCount:
+      break;
+  }
+  return "";
+}
+
 // ---- the run ----
 
+void World::saw(Sight sight, bool when) {
+  if (when) sights_ |= Sights{1} << static_cast<unsigned>(sight);
+}
+
+std::size_t World::sends_of(std::uint64_t request) const {
+  const auto it = sends_.find(request);
+  return it == sends_.end() ? 0 : it->second;
+}
+
+bool World::copies_out() const {
+  std::map<std::uint64_t, int> out;
+  return std::any_of(conns_.begin(), conns_.end(), [&](const auto& c) {
+    return c->to_host && c->state != Conn::kClosed && c->whole && ++out[c->request] > 1;
+  });
+}
+
 World::World(const Scenario& scenario, Chooser& chooser, Log log)
     : scenario_(scenario),
       settings_(settings_of(scenario)),
@@ -564,6 +623,9 @@
   if (o.n == kGood || o.n == kTwin || o.n == kHalf) {
     report({.kind = Event::kMade, .request = conn.request, .host = conn.host, .value = value});
   }
+  saw(Sight::kAnswerAfterRetry, conn.number < sends_of(conn.request) && o.n == kGood);
+  saw(Sight::kLossBeforeRetry, o.n == kNone || o.n == kHalf || o.n == kSpoilt);
+  saw(Sight::kAnswerAtDeadline, o.n == kGood && now_ == expires_[conn.request]);
   over(conn, o.n == kBusy);
   switch (static_cast<Reply>(o.n)) {
     case kGood:
@@ -665,6 +727,8 @@
     taken.class_index = static_cast<std::uint32_t>(repeat);
     taken.customer = 1;
     taken.expires_at = now_ + scenario_.wait;
+    expires_[i + 1] = taken.expires_at;
+    saw(Sight::kIdUsedAgain, same);
     report(taken);
   }
   std::string text;
@@ -682,7 +746,9 @@
 void World::client_closes(const Option& o) {
   Client& client = clients_[o.k];
   client.gone = true;
+  for (const auto& [request, at] : answered_at_) saw(Sight::kGoneAfterAnswerAtOnce, at == now_);
   for (const auto& owed : client.owed) {
+    saw(Sight::kGoneWithAttemptOut, sends_of(owed.request) > 0);
     if (owed.request != 0) report({.kind = Event::kGone, .gateway = 1, .request = owed.request});
   }
   client.owed.clear();
@@ -722,6 +788,15 @@
 }
 
 void World::list_changes(const Option& o) {
+  for (const auto& c : conns_) {
+    if (!c->to_host || c->host != kFirstHost || c->state == Conn::kClosed) continue;
+    const bool waits = c->state == Conn::kConnecting, drains = o.n == kDrains || o.n == kGone;
+    saw(Sight::kDrainWhileWaiting, drains && waits);
+    saw(Sight::kReplacedWhileWaiting, o.n == kReplaced && waits);
+    // Whatever waits while some request has been sent before, and lost its attempt, is its resend.
+    const bool again = std::any_of(sends_.begin(), sends_.end(), [](auto& s) { return s.second > 0; });
+    saw(Sight::kDrainDuringResend, drains && ((waits && again) || (c->whole && c->number > 1)));
+  }
   std::vector<HostEntry> changes;
   switch (static_cast<Change>(o.n)) {
     case kDrains:
@@ -746,7 +821,10 @@
 }
 
 void World::reloads(const Option&) { list(ListKind::kWhole, listed_); }
-void World::stop_begins(const Option&) { node_->engine.stop(now_); }
+void World::stop_begins(const Option&) {
+  saw(Sight::kStopWithSecondCopy, copies_out());
+  node_->engine.stop(now_);
+}
 
 void World::stop_winds_down(const Option&) {
   winding_down_ = true;
@@ -759,7 +837,13 @@
   if (node_->engine.owed() > 0) complain("no request lost", "the stop left a request without its answer");
 }
 
-void World::timers_run(const Option&) { node_->engine.run_due(now_); }
+void World::timers_run(const Option&) {
+  for (const auto& c : conns_) {
+    const bool out = c->to_host && c->state != Conn::kClosed && c->whole;
+    saw(Sight::kDeadlineBeforeAnswer, out && now_ == expires_[c->request]);
+  }
+  node_->engine.run_due(now_);
+}
 
 void World::time_passes(const Option&) {
   now_ = *next_time();
@@ -819,10 +903,14 @@
       const auto& item = frame.items.at(0);
       const bool value = item.kind == resp::Kind::kBulk, refused = item.text.starts_with("BUSY");
       say("  client: request " + std::to_string(request) + " gets '" + std::string(item.text) + "'");
+      answered_at_[request] = now_;
       if (request == 0) {
         if (value) complain("no request lost", "a mistaken request was served");
         continue;
       }
+      if (item.text.starts_with("ERR another open request")) {
+        complain("the engine's promise", "a request whose id is free was turned away");
+      }
       report({.kind = value     ? Event::kServed
                       : refused ? Event::kRefused
                                 : Event::kFailed,
@@ -864,6 +952,9 @@
   }
   if (!conn.sent.ends_with("\r\n")) return;
   conn.whole = true;
+  saw(Sight::kThirdAttempt, ++sends_[conn.request] > 2);
+  saw(Sight::kSecondCopyOut, copies_out());
+  conn.number = sends_[conn.request];
   say("  host " + std::to_string(conn.host) + ": has request " + std::to_string(conn.request) + " whole");
   report({.kind = Event::kSendWhole,
           .gateway = 1,
@@ -912,6 +1003,7 @@
 void World::crashes(const Option&) {
   report({.kind = Event::kCrashed, .gateway = 1});
   for (const auto& c : conns_) {
+    saw(Sight::kCrashWithAttemptOut, c->to_host && c->whole && c->state != Conn::kClosed);
     if (c->state != Conn::kClosed && c->to_host) over(*c, false);
     c->state = Conn::kClosed;
     c->events.reset();
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -20,6 +20,29 @@
 
 namespace thistlepond::explore {
 
+// What a run has been through, to tell whether a scenario reaches what it is for.
+enum class Sight : std::uint8_t {
+  kSecondCopyOut,
+  kThirdAttempt,
+  kAnswerAfterRetry,
+  kLossBeforeRetry,
+  kDrainWhileWaiting,
+  kDrainDuringResend,
+  kReplacedWhileWaiting,
+  kAnswerAtDeadline,
+  kDeadlineBeforeAnswer,
+  kGoneWithAttemptOut,
+  kGoneAfterAnswerAtOnce,
+  kStopWithSecondCopy,
+  kCrashWithAttemptOut,
+  kIdUsedAgain,
+  kModuleThrew,
+  kSentAfterEnd,
+  kCount
+};
+const char* name_of(Sight sight);
+using Sights = std::uint32_t;
+
 class World : private resp::Dialer,
               private resp::HostEvents,
               public resp::ClientOwner,
@@ -36,6 +59,7 @@
   const std::optional<rules::Breach>& breach() const { return breach_; }
   bool cut_off() const { return cut_off_; }  // the depth ended it, not the world
   std::uint64_t fingerprint() const;
+  Sights sights() const { return sights_; }
 
  private:
   class SimStream;
@@ -113,6 +137,9 @@
   std::optional<Ms> next_time() const;
   void final_checks();
   void report(rules::Event event);
+  void saw(Sight sight, bool when = true);
+  std::size_t sends_of(std::uint64_t request) const;
+  bool copies_out() const;
   void complain(const std::string& rule, const std::string& why);
   void say(const std::string& text);
 
@@ -125,6 +152,10 @@
   std::size_t steps_ = 0;
   int faults_left_ = 0;
   bool cut_off_ = false;
+  Sights sights_ = 0;
+  std::map<std::uint64_t, std::size_t> sends_;  // whole, of each request
+  std::map<std::uint64_t, Ms> expires_;
+  std::map<std::uint64_t, Ms> answered_at_;  // requests, by their clients
   rules::Rules rules_;
   std::size_t breaches_seen_ = 0;
   std::optional<rules::Breach> breach_;
