--- /dev/null
+++ b/src/control/attempts.cpp
@@ -0,0 +1,165 @@
+// The one choke point that every send passes, further attempts and final answers.
+#include "state.h"
+
+namespace thistlepond {
+
+// What the request's class, its earlier attempts and the site allow now.
+Control::State::Permit Control::State::permit(const Held& r) const {
+  if (r.over || r.streaming || now >= r.ask.expires_at) return {};
+  if (static_cast<double>(r.attempts.size()) >= set.max_attempts) return {};
+  const double out = r.out();
+  if (out > 0 && (!set.second_copies || out > 1)) return {};
+  const auto& c = cls(r);
+  if (c.repeat == Repeat::kSafe) return {true, nullptr};
+  for (auto& a : r.attempts) {
+    if (!a.out && !a.may_have_run) continue;
+    if (c.repeat == Repeat::kUnsafe || c.group == KeyGroup::kNone) return {};
+    if (now > a.sent + kTtlShare * c.key_ttl_ms) return {};
+    return {true, &a};
+  }
+  return {true, nullptr};
+}
+
+bool Control::State::in_group(const Held& r, const Attempt* bound, const Host& h) const {
+  if (!bound || cls(r).group == KeyGroup::kAll) return true;
+  const auto it = hosts.find(bound->host);
+  if (it == hosts.end()) return false;
+  return cls(r).group == KeyGroup::kZone
+             ? it->second.entry.zone == h.entry.zone
+             : it->second.entry.cell == h.entry.cell && it->second.entry.zone == h.entry.zone;
+}
+
+bool Control::State::send(Held& r, Actions& out) {
+  const Permit p = permit(r);
+  if (!p.allowed) return false;
+  Host* best = nullptr;
+  double best_cost = 0;
+  const auto all = static_cast<double>(
+      std::count_if(hosts.begin(), hosts.end(), [&](auto& entry) { return usable(entry.second); }));
+  for (const bool desperate : {false, true}) {
+    for (auto& [id, h] : hosts) {
+      if (!usable(h) || !in_group(r, p.bound, h) || awaited(h) >= limit(h)) continue;
+      const bool tried =
+          std::any_of(r.attempts.begin(), r.attempts.end(), [&](auto& a) { return a.host == h.entry.id; });
+      if ((!desperate && (tried || ejected(h))) || !cold_allows(h, all)) continue;
+      const double c = cost(h, r.ask) * (1 + 0.02 * draw());
+      if (!best || c < best_cost) best = &h, best_cost = c;
+    }
+    if (best) break;
+  }
+  if (!best) return false;
+  Host& h = *best;
+  if (awaited(h) <= 0) h.quiet_since = now;
+  h.out += 1;
+  const auto c = customers.find(r.ask.customer);
+  if (c != customers.end()) c->second.open += 1;
+  r.attempts.push_back({h.entry.id, now});
+  out.send(r.ask.id, h.entry.id, 0);
+  return true;
+}
+
+bool Control::State::may_refuse(const Held& r) const {
+  const auto& c = cls(r);
+  if (c.repeat == Repeat::kSafe || (c.repeat == Repeat::kKeyed && c.group == KeyGroup::kAll)) return true;
+  return std::none_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out || a.may_have_run; });
+}
+
+void Control::State::finish(Held& r, Ms retry_after, Actions& out) {
+  if (r.over) return;
+  r.over = true;
+  if (may_refuse(r)) {
+    const double top = set.retry_after ? set.max_retry_after_ms : 0;
+    out.refuse(r.ask.id, std::clamp(finite(retry_after, top), 0.0, top));
+  } else {
+    out.fail(r.ask.id);
+  }
+  for (std::uint32_t i = 0; i < r.attempts.size(); ++i) call_off(r, i, out);
+  forget_if_done(r.ask.id);
+}
+
+void Control::State::call_off(Held& r, std::uint32_t i, Actions& out) {
+  auto& a = r.attempts[i];
+  if (!set.may_cancel || !a.out || a.cancelled) return;
+  a.cancelled = true;
+  out.cancel(r.ask.id, i);
+}
+
+void Control::State::forget_if_done(RequestId id) {
+  const auto it = held.find(id);
+  if (it != held.end() && it->second.over && it->second.out() <= 0) held.erase(it);
+}
+
+bool Control::State::worth_trying(const Held& r) const {
+  return !r.over && budget >= 1 && now < r.arrived + kHopelessShare * (aim_end(r) - r.arrived);
+}
+
+bool Control::State::send_again(Held& r, Actions& out) {
+  if (!worth_trying(r) || !send(r, out)) return false;
+  budget -= 1;
+  return true;
+}
+
+Ms Control::State::patience(const Held& r) const {
+  return std::max(kPatience * class_time(r.ask.class_index), kPatienceAim * aim_of(r));
+}
+
+void Control::State::arm(const Held& r, Actions& out) const {
+  const Ms last = r.ask.expires_at - set.tick_ms;
+  Ms next = last;
+  if (!r.attempts.empty()) {
+    const Ms again = r.attempts.back().sent + patience(r);
+    if (again > now && again < aim_end(r)) next = std::min(next, again);
+  }
+  out.wake(std::max(next - now, 0.0), r.ask.id);
+}
+
+void Control::State::due(Held& r, Actions& out) {
+  if (r.over || r.streaming) return;
+  if (now >= r.ask.expires_at - set.tick_ms) return finish(r, 0, out);
+  const bool late = now + kTokenDust >= r.attempts.back().sent + patience(r) && !pressed();
+  if (r.out() == 1 && (late || (r.attempts.back().bad && !jammed())) && worth_trying(r)) {
+    const auto last = static_cast<std::uint32_t>(r.attempts.size() - 1);
+    if (set.second_copies) {
+      send_again(r, out);
+    } else if (cls(r).repeat != Repeat::kUnsafe) {
+      call_off(r, last, out);  // its outcome brings the next attempt
+    }
+  }
+  arm(r, out);
+}
+
+// Danger: attempts whose answer never comes fill the bounds until their deadline, a healthy fleet looks
+// full, and one of them would shut its host out for as long, as a host that owes only it is silent. So one
+// overtaken by much later sends to other hosts leaves the load, its host's bound and its silence; later
+// still it counts as a failure there, which ejects a host that is dead, and the request goes elsewhere. One
+// overtaken at its own host is lost. In a jam nothing is overtaken so. It could hurt where a host serves
+// its newest requests first, or where single requests are far longer than their class's mean.
+void Control::State::find_lost(Actions& out) {
+  for (auto& [id, r] : held) {
+    const Ms expected = class_time(r.ask.class_index), late = kLostAfter * expected;
+    for (std::uint32_t i = 0; i < r.attempts.size(); ++i) {
+      Attempt& a = r.attempts[i];
+      if (!a.out || a.lost || r.streaming || now - a.sent < kOverdueAfter * expected) continue;
+      Host& h = hosts[a.host];
+      if (!a.overdue && newest_answered >= a.sent + kOverdueAfter * expected / 2) {
+        a.overdue = true;
+        h.overdue += 1;
+        h.quiet_since = now;
+      }
+      const Ms bad = kBadAfter * expected * std::max(1.0, h.slow) / ability(h);
+      if (!a.bad && now - a.sent >= bad && newest_answered >= a.sent + bad / 2) {
+        a.bad = true;
+        judge(h, true, out);
+        out.wake(0, id);
+      }
+      if (now - a.sent < late) continue;
+      if (h.newest_answered < a.sent + late / 2) continue;
+      if (a.overdue) h.overdue = std::max(h.overdue - 1, 0.0);
+      a.lost = true;
+      h.out = std::max(h.out - 1, 0.0);
+      note(out, "attempts overtaken by later ones: counted as lost");
+    }
+  }
+}
+
+}  // namespace thistlepond
--- /dev/null
+++ b/src/control/customers.cpp
@@ -0,0 +1,116 @@
+// Customers: the paper's buckets at this gateway's slice, lending, and what a customer is taken for.
+#include "state.h"
+
+namespace thistlepond {
+
+Customer& Control::State::customer_of(const Request& q) {
+  const auto& p = set.plans[q.plan_index];
+  const double spread = std::clamp(q.spread, 1.0, std::max(1.0, set.gateways));
+  auto [it, fresh] = customers.try_emplace(q.customer);
+  Customer& c = it->second;
+  if (fresh) {
+    c.plan = q.plan_index;
+    c.spread = spread;
+    const double rate = p.quota_rate / spread;
+    const double volume = p.burst / spread;
+    c.parent = {volume, rate, volume, now};
+    c.allowance = volume;
+    c.whole = {p.burst, p.quota_rate, p.burst, now};
+    const auto n = static_cast<double>(set.classes.size());
+    c.children.assign(set.classes.size(), Child{{volume, rate / n, volume, now}, 0});
+    // A ceiling's slice starts empty at each start of this gateway: it may have given all before it fell.
+    const double top = p.ceiling_burst / spread;
+    const double since = p.ceiling_rate / spread * (now - born) / 1000;
+    c.ceiling = {top, p.ceiling_rate / spread, std::min(top, since), now};
+  }
+  c.seen = now;
+  return c;
+}
+
+// Danger: customers that come once would fill the memory for a minute each. One with full buckets, of whom
+// nothing is remembered, is what it would be if it came anew.
+bool Control::State::like_new(Customer& c) {
+  c.whole.refill(now);
+  return c.demand < kForgotten && c.whole.has(c.whole.volume) &&
+         std::all_of(c.children.begin(), c.children.end(),
+                     [](auto& child) { return child.bucket.has(child.bucket.volume); });
+}
+
+// Lending (19), every tick: a child's next rate is its guaranteed rate and its part, by arrival share, of
+// what the parent could have given and did not.
+void Control::State::lend() {
+  for (auto it = customers.begin(); it != customers.end();) {
+    Customer& c = it->second;
+    double all = 0;
+    for (auto& child : c.children) all += child.asked;
+    const double room = std::max(c.allowance - c.given, 0.0);
+    const double guaranteed = c.parent.rate / static_cast<double>(c.children.size());
+    for (auto& child : c.children) {
+      child.bucket.refill(now);
+      child.bucket.rate = guaranteed + (all > kTokenDust ? room * child.asked / all : 0) / (kTickMs / 1000);
+      child.asked *= faded(kTickMs, kShareMemoryMs);
+    }
+    c.parent.refill(now);
+    c.given = 0;
+    c.demand *= faded(kTickMs, memory(c));
+    c.allowance = c.parent.level + c.parent.rate * kTickMs / 1000;
+    c.ceiling.refill(now);
+    // Never dropped while that would give tokens back early: only full buckets go.
+    const bool full = c.parent.has(c.parent.volume) && c.ceiling.has(c.ceiling.volume);
+    const bool idle = now - c.seen > kIdleMs || (full && like_new(c));
+    it = c.open <= 0 && full && idle ? customers.erase(it) : std::next(it);
+  }
+}
+
+bool Control::State::capped(const Customer& c) const {
+  const double limit = set.plans[c.plan].open_limit;
+  return limit > 0 && c.open >= std::max(1.0, std::ceil(limit / c.spread - kTokenDust));
+}
+
+bool Control::State::quota_has(Customer& c, const Request& q) {
+  const auto& p = set.plans[c.plan];
+  if (capped(c)) return false;
+  if (p.quota_rate <= 0) return true;
+  Child& child = c.children[q.class_index];
+  c.parent.refill(now);
+  child.bucket.refill(now);
+  const bool part = c.parent.volume < q.units;  // a slice of less than this request proves nothing
+  return c.parent.has(q.units) && child.bucket.has(q.units) && (!part || beyond_worth(c, q) >= 0);
+}
+
+// The time that the memory of demand covers: a gateway that has just started has seen little of anyone.
+Ms Control::State::memory(const Customer& c) const {
+  return std::clamp(kDemandRequests * 1000 / std::max(c.parent.rate, kTokenDust), kDemandMemoryMs, kIdleMs);
+}
+
+Ms Control::State::exposure(const Customer& c) const {
+  return std::max(kTickMs, memory(c) * (1 - faded(now - born, memory(c))));
+}
+
+// Danger: with one bound for all, customers inside their quota were refused where their sets are large: of
+// two gateways one can get twice its part of a customer, of four four times. A slice of less than a request
+// tells too little to go by that.
+double Control::State::rare_skew(const Customer& c, const Request& q) const {
+  if (c.parent.volume < q.units) return kRareSkew;
+  return kRareSkew + kMoreSkew * std::clamp(c.spread - 2, 0.0, kMostSkewed - 2);
+}
+
+// The worth expected of letting a customer on whose slice is dry or below one request, in parts of the
+// request's worth. Danger: its other slices may lie idle, or be as busy, and one gateway of hundreds sees a
+// request or two. So what it asked here is drawn towards a usual customer's use, the less the slice lets
+// expect the more; one that used up the whole quota here is beyond it for sure. It also meets customers
+// that move between gateways and spikes. It could hurt customers that crowd very few of many gateways.
+double Control::State::beyond_worth(Customer& c, const Request& q) {
+  const auto& p = set.plans[c.plan];
+  c.whole.refill(now);
+  double chance = 0;
+  if (p.quota_rate > c.parent.rate && c.whole.has(q.units) && !capped(c)) {
+    const double usual = kPriorRequests * q.units * 1000 / exposure(c);
+    const double before = std::max(c.demand - (q.repeat ? 0 : q.units), 0.0) * 1000 / exposure(c);
+    const double asks = (before + kUsualUse * usual) / (c.parent.rate + usual);
+    chance = 1 / (1 + std::pow(asks / rare_skew(c, q), 3));
+  }
+  return chance + (1 - chance) * (p.beyond_earns - p.overrun_cost);
+}
+
+}  // namespace thistlepond
--- /dev/null
+++ b/src/control/events.cpp
@@ -0,0 +1,283 @@
+// Events in: requests, ends, lists and ticks.
+#include "state.h"
+
+namespace thistlepond {
+
+void Control::State::admit(Held& r, Actions& out) {
+  const Request& q = r.ask;
+  Customer& c = customer_of(q);
+  c.children[q.class_index].asked += q.units;
+  class_units[q.class_index] += kOutcomeGain * (q.units - class_units[q.class_index]);
+  const PlanSettings& p = plan(r);
+  measure_load();
+  c.ceiling.refill(now);
+  if (p.ceiling_rate > 0 && c.ceiling.level + kTokenDust < q.units) {  // never in debt
+    note(out, "ceiling reached");
+    return finish(r, c.ceiling.wait_for(q.units), out);
+  }
+  c.parent.refill(now);
+  c.demand += q.units;
+  r.inside = quota_has(c, q);
+  const bool tells = c.parent.volume >= q.units;  // a slice below one request proves nothing
+  const double worth = r.inside && tells ? 1 : beyond_worth(c, q);
+  if (!r.inside && ((tells ? pressed() : jammed()) || worth < 0)) {
+    return finish(r, c.parent.wait_for(q.units), out);
+  }
+  const double work = class_time(q.class_index) / std::max(class_units[q.class_index], kTokenDust);
+  if (shed(p.pays * cls(r).worth * worth / work, work * q.units)) {
+    note(out, "back end pressed: shedding by worth");
+    return finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), out);
+  }
+  if (!send(r, out)) {
+    note(out, "no host has room");
+    return finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), out);
+  }
+  look_around(out);
+  r.drew = true;
+  budget = std::min(budget + kBudgetEarned, kBudgetMost);
+  if (p.ceiling_rate > 0) c.ceiling.give(q.units);
+  c.whole.refill(now);
+  c.whole.give(q.units);
+  if (r.inside && p.quota_rate > 0) {
+    c.parent.give(q.units);
+    c.children[q.class_index].bucket.give(q.units);
+    c.given += q.units;
+  }
+  arm(r, out);
+}
+
+void Control::State::true_up(const Held& r, double units) {
+  const auto it = customers.find(r.ask.customer);
+  if (it == customers.end() || !r.inside || plan(r).quota_rate <= 0) return;
+  const double more = units - r.ask.units;
+  for (TokenBucket* b : {&it->second.parent, &it->second.children[r.ask.class_index].bucket}) {
+    b->level = std::min(b->volume, b->level - more);
+  }
+}
+
+void Control::State::learn(Host& h, const Held& r, const AttemptEnd& e) {
+  const Ms took = finite(e.took_ms, 0);
+  const std::uint32_t c = r.ask.class_index;
+  if (e.outcome != Outcome::kOk) return;
+  strain += kOutcomeGain / 2 * (took / std::max(aim_of(r), 1.0) - strain);
+  if (class_ms[c] <= 0) class_ms[c] = took;
+  h.slow += kOutcomeGain * 2 * (took / class_time(c) - h.slow);
+  double& like = kind_slow.try_emplace(h.entry.kind, 1.0).first->second;
+  like += kOutcomeGain / 2 * (took / class_time(c) - like);
+  class_ms[c] += kOutcomeGain / 4 * (took - class_ms[c]);
+  h.done_rate += 1000 / kDoneMemoryMs;
+  completions = std::min(completions + 1, kCalmSamples);
+  recent_ms += (took - recent_ms) / completions;
+  const double keep =
+      completions < kCalmSamples || recent_ms < calm_ms ? 0 : faded(now - calm_at, kCalmMemoryMs);
+  calm_ms = recent_ms + (calm_ms - recent_ms) * keep;
+  calm_at = now;
+}
+
+// A host's own word on its load. Danger: a report that is old, or missing while the host is busy, makes a
+// crowded host look idle. So a report fades towards the fleet's mean, and an answer without the report that
+// this site's hosts give counts as one of a full host. It also finds slow, jammed and unreachable hosts
+// (a probe that fails is no report). It could hurt where reports stop though hosts are idle: all look
+// alike.
+void Control::State::report(Host& h, const LoadReport& told, bool expected) {
+  if (!told.queue && !told.in_hand && !told.busy) {
+    if (!expected) return;
+    h.crowd = std::max(h.crowd, crowd) + 1;
+  } else {
+    h.crowd = finite(told.queue.value_or(told.in_hand.value_or(0)), 0) + finite(told.busy.value_or(0), 0);
+    crowd += kOutcomeGain * (h.crowd - crowd);
+  }
+  h.reported_at = now;
+}
+
+// Where load is told only to who asks: a priced probe for every second send, of the one of two random hosts
+// that was heard of longest ago, and only if its answers, too, are old.
+void Control::State::look_around(Actions& out) {
+  if (!set.may_probe || hosts.empty() || draw() > kProbesPerSend) return;
+  Host* oldest = nullptr;
+  for (int i = 0; i < 2; ++i) {
+    auto it =
+        std::next(hosts.begin(), static_cast<std::ptrdiff_t>(draw() * static_cast<double>(hosts.size())));
+    if (usable(it->second) && (!oldest || it->second.reported_at < oldest->reported_at)) oldest = &it->second;
+  }
+  if (oldest && now - oldest->quiet_since > kDoneMemoryMs) out.probe(oldest->entry.id);
+}
+
+void Control::State::ended(const AttemptEnd& e, Actions& out) {
+  const auto it = held.find(e.request);
+  if (it == held.end() || e.attempt >= it->second.attempts.size()) return;
+  Held& r = it->second;
+  Attempt& a = r.attempts[e.attempt];
+  if (!a.out || a.host != e.host) return;
+  a.out = false;
+  a.may_have_run =
+      e.outcome != Outcome::kFull && e.outcome != Outcome::kConnectFailed && e.outcome != Outcome::kNotSent;
+  Host& h = hosts[a.host];
+  if (a.overdue && !a.lost) h.overdue = std::max(h.overdue - 1, 0.0);
+  if (!a.lost) h.out = std::max(h.out - 1, 0.0);
+  const auto c = customers.find(r.ask.customer);
+  if (c != customers.end()) c->second.open = std::max(c->second.open - 1, 0.0);
+  settle(h);
+  report(h, e.load, false);
+  const bool answered =
+      e.outcome == Outcome::kOk || e.outcome == Outcome::kError || e.outcome == Outcome::kFull;
+  if (answered) {
+    h.quiet_since = now;
+    h.newest_answered = std::max(h.newest_answered, a.sent);
+    newest_answered = std::max(newest_answered, a.sent);
+  }
+  for (auto& f : refusals) f.full *= 1 - kOutcomeGain / 2, f.all *= 1 - kOutcomeGain / 2;
+  h.fulls.resize(refusals.size());
+  for (const std::size_t i : {std::size_t{r.ask.plan_index}, class_slot(r.ask.class_index)}) {
+    const double full = e.outcome == Outcome::kFull ? 1 : 0;
+    refusals[i].all += kOutcomeGain / 2;
+    refusals[i].full += full * kOutcomeGain / 2;
+    h.fulls[i] += kFullGain * (full - h.fulls[i]);
+  }
+  // What never ran added no work: another host is asked outside the budget, unless all are full.
+  if (!a.may_have_run && e.outcome != Outcome::kNotSent && fulls() < kOutcomeGain) budget += 1;
+  switch (e.outcome) {
+    case Outcome::kOk:
+      learn(h, r, e);
+      judge(h, false, out);
+      break;
+    case Outcome::kTimedOut:
+    case Outcome::kCancelled:
+      if (!r.over) learn(h, r, e);
+      break;
+    case Outcome::kNotSent:
+    case Outcome::kFull:
+      break;
+    default:
+      judge(h, true, out);
+  }
+  if (e.outcome == Outcome::kTimedOut) judge(h, true, out);
+  if (e.true_units && set.units_settle) true_up(r, finite(*e.true_units, r.ask.units));
+  if (e.finished || e.outcome == Outcome::kOk) {
+    r.over = true;
+    for (std::uint32_t i = 0; i < r.attempts.size(); ++i) call_off(r, i, out);
+  }
+  if (!r.over && r.out() <= 0) {
+    if (send_again(r, out)) {
+      arm(r, out);
+    } else {
+      finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), out);
+      return;
+    }
+  }
+  forget_if_done(e.request);
+}
+
+void Control::State::list(ListKind kind, std::span<const HostEntry> entries, Actions& out) {
+  if (kind == ListKind::kFailed) {
+    out.wake(kAskAgainMs, kListToken);
+    return;
+  }
+  if (kind != ListKind::kChanges) {
+    for (auto& [id, h] : hosts) h.listed = false;
+  }
+  for (const auto& e : entries) {
+    Host& h = hosts[e.id];
+    const bool anew = h.entry.started_at != e.started_at;
+    if (anew) {  // a new process: nothing known of the old one holds
+      const double still_out = h.out, overdue = h.overdue;
+      h = Host{};
+      h.out = still_out, h.overdue = overdue;
+      h.quiet_since = now;
+    }
+    h.entry = e;
+    h.listed = e.state != HostState::kGone;
+    h.told_leaving = e.state == HostState::kReady ? kNoTime : now;
+  }
+}
+
+void Control::State::tick(Actions& out) {
+  lend();
+  find_lost(out);
+  std::erase_if(hosts, [&](auto& entry) {
+    const Host& h = entry.second;
+    return !h.listed && h.out <= 0 && now - h.touched > kGoneMemoryMs;
+  });
+  out.wake(kTickMs, kTickToken);
+}
+
+Control::Control(const Settings& settings, std::uint64_t seed)
+    : state_(std::make_unique<State>(settings, seed)) {
+  auto& s = *state_;
+  s.class_ms.assign(s.set.classes.size(), 0);
+  for (auto& c : s.set.classes) s.least_aim = std::min(s.least_aim, c.aim_ms > 0 ? c.aim_ms : c.deadline_ms);
+  s.refusals.resize(s.set.plans.size() + s.set.classes.size());
+  s.class_units.assign(s.set.classes.size(), 1);
+}
+Control::~Control() = default;
+Control::Control(Control&&) noexcept = default;
+Control& Control::operator=(Control&&) noexcept = default;
+
+void Control::start(Ms now, Actions& out) {
+  state_->now = state_->born = state_->load_at = now;
+  if (state_->set.must_subscribe) out.follow_list();
+  out.fetch_list();  // a restart leaves only an old list
+  out.wake(kTickMs, kTickToken);
+}
+
+void Control::on_list(Ms now, ListKind kind, std::span<const HostEntry> entries, Actions& out) {
+  state_->now = now;
+  state_->list(kind, entries, out);
+}
+
+void Control::on_request(Ms now, const Request& request, Actions& out) {
+  auto& s = *state_;
+  s.now = now;
+  if (s.held.contains(request.id)) return;
+  Request q = request;
+  q.units = finite(q.units, s.set.largest_units, kTokenDust);
+  q.spread = finite(q.spread, 1, 1);
+  q.expires_at = finite(q.expires_at, now, -kNoTime);
+  if (q.class_index >= s.set.classes.size() || q.plan_index >= s.set.plans.size()) {
+    out.refuse(q.id, 0);  // nothing was sent, so a refusal is safe
+    return;
+  }
+  Held& r = s.held[q.id];
+  r.ask = q;
+  r.arrived = now;
+  s.admit(r, out);
+}
+
+void Control::on_stream_begun(Ms now, RequestId request, std::uint32_t, Actions&) {
+  state_->now = now;
+  const auto it = state_->held.find(request);
+  if (it != state_->held.end()) it->second.streaming = true;
+}
+
+void Control::on_attempt_end(Ms now, const AttemptEnd& end, Actions& out) {
+  state_->now = now;
+  state_->ended(end, out);
+}
+
+void Control::on_gone(Ms now, RequestId request, Actions& out) {
+  auto& s = *state_;
+  s.now = now;
+  const auto it = s.held.find(request);
+  if (it == s.held.end()) return;
+  it->second.over = true;
+  for (std::uint32_t i = 0; i < it->second.attempts.size(); ++i) s.call_off(it->second, i, out);
+  s.forget_if_done(request);
+}
+
+void Control::on_timer(Ms now, std::uint64_t token, Actions& out) {
+  auto& s = *state_;
+  s.now = now;
+  if (token == kTickToken) return s.tick(out);
+  if (token == kListToken) return s.set.must_subscribe ? out.follow_list() : out.fetch_list();
+  const auto it = s.held.find(token);
+  if (it != s.held.end()) s.due(it->second, out);
+}
+
+void Control::on_probe_end(Ms now, HostId host, Ms, bool ok, const LoadReport& load, Actions&) {
+  auto& s = *state_;
+  s.now = now;
+  const auto it = s.hosts.find(host);
+  if (it != s.hosts.end()) s.report(it->second, ok ? load : LoadReport{}, true);
+}
+
+}  // namespace thistlepond
--- /dev/null
+++ b/src/control/hosts.cpp
@@ -0,0 +1,97 @@
+// Hosts: their records, what they bear, and what an attempt there would cost.
+#include "state.h"
+
+namespace thistlepond {
+
+void Control::State::settle(Host& h) {  // lets a host's record fade
+  const Ms dt = now - h.touched;
+  if (dt <= 0) return;
+  const double like = kind_slow.try_emplace(h.entry.kind, 1.0).first->second;
+  const double keep = std::exp2(-dt / kFailMemoryMs), keep_fulls = std::exp2(-dt / kFullMemoryMs);
+  h.fails *= keep;
+  for (auto& f : h.fulls) f *= keep_fulls;
+  h.slow = like + (h.slow - like) * keep;
+  h.done_rate *= faded(dt, kDoneMemoryMs);
+  h.touched = now;
+}
+
+bool Control::State::cold(const Host& h) const {
+  return h.entry.started_at > 0 && now - h.entry.started_at < set.warm_after_ms;
+}
+
+double Control::State::ability(const Host& h) const {
+  if (!cold(h)) return 1;
+  const double age = std::clamp((now - h.entry.started_at) / set.warm_after_ms, 0.0, 1.0);
+  return set.cold_from + (1 - set.cold_from) * age;
+}
+
+// A just started host must not be pushed over, counting that every gateway sends to it. Danger: any whole
+// number of sends allowed to each gateway is hundreds in sum. So each send draws, anew, whether the host
+// may take it, with the host's present part of an even share of all sends: the sum over gateways is then
+// that part, in any window, however many gateways there are or have just restarted. It also meets a fleet
+// back cold in one stroke. It could hurt while most hosts are cold: many sends then find no host.
+bool Control::State::cold_allows(const Host& h, double usable_hosts) {
+  if (!cold(h)) return true;
+  return draw() * usable_hosts < std::min(1.0, kColdShare * set.overload_factor * ability(h));
+}
+
+// Little's law as a bound: what is out at a host may not pass what it completes within the wait aimed for.
+// Danger: a queue that outgrows the aim, so that all is served late. It meets a slow host, a shared
+// slowdown, a shrunk fleet and overload alike, and needs no time-out. It could hurt after a lull, when
+// little was completed of late; the least that keeps cores busy is therefore always allowed.
+// The bound on one host is whole and a little loose; the bound on the fleet, which decides shedding, is
+// not.
+// Danger: where requests take a good part of their aim on idle hosts, what is out looks like a queue, and
+// requests inside their quotas are shed with the back end half idle. So the wait aimed for is told by what
+// requests take here while nothing queues, within bounds by the aim. It meets long work, slow machines and
+// new hosts alike. It could hurt where all a gateway has ever seen is a jam; the aim then bounds it.
+Ms Control::State::allowed_wait() const {
+  return std::clamp(kCalmTimes * calm_ms, kWaitShare * least_aim, kMostWaitShare * least_aim);
+}
+
+double Control::State::fair_out(Host& h) {
+  settle(h);
+  return std::max(kLeastAtHost / std::max(set.gateways, 1.0), h.done_rate * allowed_wait() / 1000);
+}
+
+// Danger: a host with room turns away one plan or one class as full. What both the request's plan and its
+// class met there counts, so that the others still go to it; a host full for all is avoided by all.
+double Control::State::full_for(const Host& h, const Request& q) const {
+  return h.fulls.empty() ? 0 : std::min(h.fulls[q.plan_index], h.fulls[class_slot(q.class_index)]);
+}
+
+// Expected time to an answer, for comparison. A host that owes answers and gives none looks as slow as its
+// silence is long: that finds dead, cut off and stuck hosts alike, before any time-out. It could hurt where
+// single requests are far longer than their class's mean.
+double Control::State::cost(Host& h, const Request& q) {
+  settle(h);
+  Ms expected = class_time(q.class_index) * h.slow;
+  if (awaited(h) > 0) expected = std::max(expected, now - h.quiet_since);
+  const double fresh = faded(now - h.reported_at, kReportMemoryMs);
+  const double ahead = fresh * h.crowd + (1 - fresh) * crowd;
+  double c = expected * (h.out + 1 + ahead) * (1 + kFailCost * (h.fails + full_for(h, q)));
+  return h.entry.zone == set.my_zone ? c : c * kOtherZone;
+}
+
+bool Control::State::ejected(const Host& h) const {
+  return now < h.ejected_until || (h.ejected_until > 0 && h.fails > kEjectAt / 2 && awaited(h) >= 1);
+}
+
+void Control::State::judge(Host& h, bool bad, Actions& out) {
+  settle(h);
+  h.fails += kOutcomeGain * 2 * ((bad ? 1 : 0) - h.fails);
+  if (!bad && h.fails < kEjectAt / 2) h.ejected_until = 0, h.eject_span = kFirstEjectMs;
+  if (!bad || h.fails < kEjectAt || now < h.ejected_until) return;
+  double listed = 1, gone = 1;
+  for (auto& [id, o] : hosts) {
+    if (!usable(o)) continue;
+    listed += 1;
+    if (&o != &h && now < o.ejected_until) gone += 1;
+  }
+  if (gone > kMostEjected * listed) return;  // if most look bad, the cause is not the hosts
+  h.ejected_until = now + h.eject_span;
+  h.eject_span = std::min(h.eject_span * 2, kLongestEjectMs);
+  note(out, "outlier ejection: a host fails most of its attempts");
+}
+
+}  // namespace thistlepond
--- /dev/null
+++ b/src/control/state.h
@@ -0,0 +1,129 @@
+// All that one gateway's module knows, and what it can decide; each section is a file of its own.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "records.h"
+
+namespace thistlepond {
+using namespace detail;
+
+struct Control::State {
+  Settings set;
+  std::mt19937_64 random;
+  Ms born = 0;
+  Ms now = 0;
+  std::map<CustomerId, Customer> customers;
+  std::map<HostId, Host> hosts;
+  // Slowness of all hosts of a kind: what is known of one that was not heard of lately. Not pooled by zone:
+  // the near zone of a cut is crowded, not bad; nor are failures, as one host would speak for many.
+  std::map<std::uint32_t, double> kind_slow;
+  std::map<RequestId, Held> held;
+  std::vector<double> class_ms;  // latency of each class, of late
+  std::vector<double> class_units;
+  std::deque<std::pair<double, double>> recent;        // worth a unit of work, and work, of the last requests
+  double strain = 0;                                   // mean latency against aims
+  double crowd = 0;                                    // mean of what hosts report
+  double recent_ms = 0, calm_ms = 0, completions = 0;  // mean latency, of late and while nothing queues
+  Ms calm_at = 0;
+  struct Refusals {
+    double full = 0, all = 0;
+  };
+  std::vector<Refusals> refusals;  // attempts of late, by plan, then by class
+  double budget = kBudgetMost / 2;
+  Ms newest_answered = 0;
+  double load = 0;  // part of all limits in use, smoothed
+  Ms load_at = 0;
+  Ms gap = 0;              // between requests, of late
+  Ms least_aim = kNoTime;  // all classes wait in the same queues: the tightest sets the bound
+  std::map<std::string, Ms, std::less<>> noted;
+
+  State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {}
+  double draw() { return static_cast<double>(random() >> 11) * 0x1.0p-53; }
+  void note(Actions& out, std::string_view text) {
+    auto [it, fresh] = noted.try_emplace(std::string(text), now);
+    if (!fresh && now - it->second < kNotePauseMs) return;
+    it->second = now;
+    out.note(text);
+  }
+  const ClassSettings& cls(const Held& r) const { return set.classes[r.ask.class_index]; }
+  const PlanSettings& plan(const Held& r) const { return set.plans[r.ask.plan_index]; }
+  Ms aim_of(const Held& r) const { return cls(r).aim_ms > 0 ? cls(r).aim_ms : cls(r).deadline_ms; }
+  Ms aim_end(const Held& r) const {
+    Ms aim = cls(r).late_share > 0 ? kNoTime : r.arrived + aim_of(r);
+    return std::min(aim, r.ask.expires_at);
+  }
+
+  // ---- customers: the paper's buckets at this gateway's slice ----
+  Customer& customer_of(const Request& q);
+  bool like_new(Customer& c);
+  void lend();
+  bool capped(const Customer& c) const;
+  bool quota_has(Customer& c, const Request& q);
+  Ms memory(const Customer& c) const;
+  Ms exposure(const Customer& c) const;
+  double rare_skew(const Customer& c, const Request& q) const;
+  double beyond_worth(Customer& c, const Request& q);
+
+  // ---- hosts ----
+  void settle(Host& h);
+  bool cold(const Host& h) const;
+  double ability(const Host& h) const;
+  bool cold_allows(const Host& h, double usable_hosts);
+  Ms allowed_wait() const;
+  double fair_out(Host& h);
+  double limit(Host& h) { return fair_out(h) + 1; }
+  Ms class_time(std::uint32_t c) const { return std::max(class_ms[c], 1.0); }
+  std::size_t class_slot(std::uint32_t class_index) const { return set.plans.size() + class_index; }
+  double full_for(const Host& h, const Request& q) const;
+  double cost(Host& h, const Request& q);
+  // Attempts that may well be answered yet: those that later ones have overtaken tell nothing more.
+  double awaited(const Host& h) const { return std::max(h.out - h.overdue, 0.0); }
+  bool usable(const Host& h) const { return h.listed && h.told_leaving == kNoTime; }
+  bool ejected(const Host& h) const;
+  void judge(Host& h, bool bad, Actions& out);
+
+  // ---- the choke point: every send passes here ----
+  struct Permit {
+    bool allowed = false;
+    const Attempt* bound = nullptr;  // the hosts are bound to this attempt's group
+  };
+  Permit permit(const Held& r) const;
+  bool in_group(const Held& r, const Attempt* bound, const Host& h) const;
+  bool send(Held& r, Actions& out);
+
+  // ---- further attempts and final answers ----
+  bool may_refuse(const Held& r) const;
+  void finish(Held& r, Ms retry_after, Actions& out);
+  void call_off(Held& r, std::uint32_t i, Actions& out);
+  void forget_if_done(RequestId id);
+  bool worth_trying(const Held& r) const;
+  bool send_again(Held& r, Actions& out);
+  Ms patience(const Held& r) const;
+  void arm(const Held& r, Actions& out) const;
+  void due(Held& r, Actions& out);
+  void find_lost(Actions& out);
+
+  // ---- load, pressure, shedding by worth ----
+  void measure_load();
+  double fulls() const;
+  bool jammed() const { return strain > kPressedShare || fulls() > kOutcomeGain; }
+  bool pressed() const { return jammed() || load * allowed_wait() > kBindFrom * least_aim; }
+  bool shed(double value, double work);
+
+  // ---- events ----
+  void admit(Held& r, Actions& out);
+  void true_up(const Held& r, double units);
+  void learn(Host& h, const Held& r, const AttemptEnd& e);
+  void report(Host& h, const LoadReport& told, bool expected);
+  void look_around(Actions& out);
+  void ended(const AttemptEnd& e, Actions& out);
+  void list(ListKind kind, std::span<const HostEntry> entries, Actions& out);
+  void tick(Actions& out);
+};
+
+}  // namespace thistlepond
