--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -45,7 +45,7 @@
   std::vector<std::unique_ptr<HostServer>>& hosts;
   const LoadPlan& plan;
   boost::json::object conf;
-  std::string relay;
+  std::string relay, settings;
 };
 
 Row measure(const Setup& s, int port, pid_t pid) {
@@ -67,7 +67,9 @@
 
 Row play(const Setup& s, const std::string& what) {
   if (what != "relay") {
-    Program gateway(what, s.conf);
+    std::vector<std::string> arguments;
+    if (!s.settings.empty()) arguments = {"--settings", s.settings};
+    Program gateway(what, s.conf, arguments);
     return measure(s, gateway.port(), gateway.pid());
   }
   std::string ports;
@@ -105,7 +107,7 @@
 
 int main(int argc, char** argv) {
   CLI::App app{"Offered and served load, latency from the intended start, CPU and memory of the gateway."};
-  std::string program = "build/cometfold", other, relay = "build/stand-in";
+  std::string program = "build/cometfold", other, relay = "build/stand-in", settings;
   std::vector<double> rates{250, 500, 1000, 2000};
   LoadPlan plan;
   Behaviour behaviour;
@@ -113,6 +115,7 @@
   double sockets = 1024;
   app.add_option("--program", program, "the gateway")->check(CLI::ExistingFile);
   app.add_option("--peer", other, "another build of it, measured beside")->check(CLI::ExistingFile);
+  app.add_option("--settings", settings, "the gateways' own settings")->check(CLI::ExistingFile);
   app.add_option("--stand-in", relay, "the stand-ins' program")->check(CLI::ExistingFile);
   app.add_option("--rates", rates, "requests a second, one after another")->delimiter(',');
   app.add_option("--seconds", plan.seconds, "of each round, beside a second to warm up");
@@ -132,7 +135,7 @@
       discovery.set("s-" + std::to_string(i), hosts.back()->port(), "active");
     }
     std::jthread servers([&io] { io.run(); });
-    Setup setup{hosts, plan, config(discovery.whole(), discovery.port()), relay};
+    Setup setup{hosts, plan, config(discovery.whole(), discovery.port()), relay, settings};
     setup.conf["limits"].as_object()["sockets"] = sockets;
     std::printf("%d hosts of %.1f ms, %d rounds of %.0f s, medians; latency in ms from the intended start\n",
                 host_count, behaviour.mean_ms, rounds, plan.seconds);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -221,18 +221,18 @@
   return text;
 }
 
+}  // namespace
+
 Config read_config_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  if (!file.good() && !file.eof()) throw ConfigError("EDGE_CONFIG: can't read '" + path + "'");
+  if (!file.good() && !file.eof()) throw ConfigError("configuration: can't read '" + path + "'");
   boost::system::error_code error;
   const auto value = json::parse(text, error);
-  if (error) throw ConfigError("EDGE_CONFIG: '" + path + "' is not JSON: " + error.message());
+  if (error) throw ConfigError("configuration: '" + path + "' is not JSON: " + error.message());
   return read_config(value);
 }
 
-}  // namespace
-
 Config load_config(const Variable& variable) {
   Config config = reload_config(variable);
   // At the start the file says the same.
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "discovery.h"
+#include "own_settings.h"
 #include "thistlepond/control.h"
 
 namespace thistlepond::net {
@@ -36,10 +37,12 @@
   Ms conn_idle_ms = 0;
   Ms connect_timeout_ms = 0;
   std::size_t max_open = 0;
+  OwnSettings own;
 };
 
 // Throws ConfigError with one plain line.
 Config read_config(const boost::json::value& json);
+Config read_config_file(const std::string& path);
 // `variable` gives an environment variable's text, or null.
 Config load_config(const std::function<const char*(const char*)>& variable);
 // The file again, while the program runs. Danger: the environment is as old as the process, so here the file
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -16,7 +16,6 @@
 
 // A client's time runs from its send: the way here, the answer's way and a busy moment must fit besides.
 constexpr Ms kMargin = 20;
-constexpr Ms kRest = 25;  // noise behind an answer comes with it or in the moment after
 constexpr std::size_t kSpareSockets =
     48;  // standard streams, listener, discovery, epoll and what comes between
 // Connections go on coming for 0.4 s after SIGTERM; SIGKILL comes 0.7 s and the longest deadline after it, or
@@ -34,10 +33,12 @@
 PoolLimits pool_limits(const Config& config) {
   PoolLimits limits;
   const auto sockets = config.sockets > kSpareSockets ? config.sockets - kSpareSockets : 2;
-  limits.connections = std::max<std::size_t>(1, sockets * 2 / 5);
-  limits.per_host = std::min(limits.per_host, limits.connections);
+  const auto share = static_cast<double>(sockets) * config.own.descriptors_share;
+  limits.connections = std::max<std::size_t>(1, static_cast<std::size_t>(share));
+  limits.per_host = std::min(config.own.per_host, limits.connections);
+  limits.idle_per_host = config.own.idle_per_host;
   limits.idle_limit = config.conn_idle_ms;
-  limits.rest = kRest;
+  limits.rest = config.own.rest_ms;
   limits.connect_timeout = config.connect_timeout_ms;
   return limits;
 }
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -1,9 +1,11 @@
 // The real api gateway: environment, signals, the event loop and the exit code.
 #include <sys/resource.h>
 
+#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <string>
@@ -59,29 +61,64 @@
   });
 }
 
-}  // namespace
+// What the command line asks for; by default what the platform starts.
+struct Options {
+  std::string settings;
+  std::string check;
+};
 
-int main() {
+int check_config(const Options& options) {
   try {
-    std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
-    const Config config = load_config(variable);
-    raise_descriptor_limit(config.sockets);
-    boost::asio::io_context io(1);
-    Clock clock;
-    Gateway gateway(io, clock, config, [&io] { io.stop(); });
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&gateway](boost::system::error_code error, int) {
-      if (!error) gateway.stop();
-    });
-    boost::asio::signal_set hangups(io, SIGHUP);
-    await_reload(hangups, gateway);
-    gateway.start();
-    const auto at = gateway.address();
-    log_line("ready: " + config.name, at.address().to_string() + ":" + std::to_string(at.port()));
-    run(io, clock);
-    log_line("stopped", config.name);
+    if (!options.settings.empty()) read_own_settings(options.settings);
+    const Config config = read_config_file(options.check);
+    std::printf("%s: good: %zu classes, %zu plans, %zu hosts known\n", options.check.c_str(),
+                config.class_names.size(), config.plan_names.size(), config.known.targets.size());
     return 0;
+  } catch (const std::exception& bad) {
+    std::fprintf(stderr, "%s\n", bad.what());
+    return 1;
+  }
+}
+
+int serve(const Options& options) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
+  Config config = load_config(variable);
+  if (!options.settings.empty()) config.own = read_own_settings(options.settings);
+  raise_descriptor_limit(config.sockets);
+  boost::asio::io_context io(1);
+  Clock clock;
+  Gateway gateway(io, clock, config, [&io] { io.stop(); });
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&gateway](boost::system::error_code error, int) {
+    if (!error) gateway.stop();
+  });
+  boost::asio::signal_set hangups(io, SIGHUP);
+  await_reload(hangups, gateway);
+  gateway.start();
+  const auto at = gateway.address();
+  log_line("ready: " + config.name, at.address().to_string() + ":" + std::to_string(at.port()));
+  run(io, clock);
+  log_line("stopped", config.name);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  if (argc > 1) {
+    CLI::App app{
+        "An api gateway between RESP2 clients and hosts. Without arguments it serves as EDGE_NAME, "
+        "EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG say."};
+    app.set_version_flag("--version", "cometfold " COMETFOLD_VERSION);
+    app.add_option("--settings", options.settings, "the gateway's own settings, as deploy/cometfold.toml");
+    app.add_option("--check-config", options.check, "say whether a configuration is good, and end");
+    CLI11_PARSE(app, argc, argv);
+  }
+  if (!options.check.empty()) return check_config(options);
+  try {
+    return serve(options);
   } catch (const std::exception& error) {
     log_line("cometfold can't start", error.what());
     return 1;
--- /dev/null
+++ b/src/net/own_settings.h
@@ -0,0 +1,29 @@
+// The gateway's own settings, in TOML: what the platform's configuration does not speak of. All have a value
+// if the file is not there, and those are the ones in service.
+#pragma once
+
+#include <cstddef>
+#include <stdexcept>
+#include <string>
+
+#include "thistlepond/control.h"
+
+namespace thistlepond::net {
+
+// One line: the file, the line, what is wrong and what would be right.
+struct OwnSettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct OwnSettings {
+  // [hosts]
+  Ms rest_ms = 25;                 // of a connection after an answer: noise behind it comes in that time
+  std::size_t idle_per_host = 16;  // connections kept for a host beyond what is out; more are closed
+  std::size_t per_host = 96;       // connections to one host
+  double descriptors_share = 0.4;  // of the descriptors, for connections to hosts
+};
+
+// Throws OwnSettingsError. Names that are not known are errors: a slip of the pen must not go unnoticed.
+OwnSettings read_own_settings(const std::string& path);
+
+}  // namespace thistlepond::net
--- a/stand_ins/program.h
+++ b/stand_ins/program.h
@@ -88,11 +88,13 @@
 // The gateway, with its configuration in a file that goes with it.
 class Program {
  public:
-  Program(const std::string& program, const boost::json::object& conf)
+  Program(const std::string& program, const boost::json::object& conf,
+          std::vector<std::string> arguments = {})
       : path_(file_for(conf)),
-        child_({program}, {"EDGE_NAME=n0", "EDGE_LISTEN=127.0.0.1:0",
-                           "EDGE_DISCOVERY=" + std::string(conf.at("discovery").as_string()),
-                           "EDGE_CONFIG=" + path_.string()}),
+        child_(command_of(program, std::move(arguments)),
+               {"EDGE_NAME=n0", "EDGE_LISTEN=127.0.0.1:0",
+                "EDGE_DISCOVERY=" + std::string(conf.at("discovery").as_string()),
+                "EDGE_CONFIG=" + path_.string()}),
         port_(child_.port_after("ready: n0")) {}
   ~Program() { std::filesystem::remove(path_); }
   int port() const { return port_; }
@@ -107,6 +109,10 @@
   int exit_code() { return child_.exit_code(); }
 
  private:
+  static std::vector<std::string> command_of(const std::string& program, std::vector<std::string> arguments) {
+    arguments.insert(arguments.begin(), program);
+    return arguments;
+  }
   static std::filesystem::path file_for(const boost::json::object& conf) {
     static int started = 0;
     const auto name = "cometfold-" + std::to_string(::getpid()) + "-" + std::to_string(++started) + ".json";
