--- a/src/explore/scenario.h
+++ b/src/explore/scenario.h
@@ -17,7 +17,7 @@
   bool noise = false;           // more behind a good answer, or on an idle connection
   bool silent_connect = false;  // a connection that never comes up (time passes without the choice too)
   bool refused = false;         // a connection is refused
-  bool partial = false;         // only part of a request can be written at once
+  bool partial = false;         // only part of a request, or of an answer, can be written at once
   bool client_gone = false;
   bool drain = false;      // the list says that host 1 drains
   bool gone = false;       // ... that it is gone
--- a/src/explore/world_parts.h
+++ b/src/explore/world_parts.h
@@ -130,7 +130,7 @@
     if (c.state == Conn::kClosed || c.peer_ended) return {0, false, true};
     if (c.blocked) return {0, true, false};
     std::size_t n = bytes.size();
-    if (c.to_host && world_.scenario_.menu.partial && world_.faults_left_ > 0 && n > 1 &&
+    if (world_.scenario_.menu.partial && world_.faults_left_ > 0 && n > 1 &&
         world_.chooser_.choose(2, part_label) == 1) {
       --world_.faults_left_;
       c.blocked = true;
--- a/src/resp/client_link.cpp
+++ b/src/resp/client_link.cpp
@@ -254,6 +254,7 @@
            std::uint64_t{write_failed_} << 3 | std::uint64_t{held_back_} << 4 | std::uint64_t{broken_} << 5 |
            std::uint64_t{lingering_} << 6 | std::uint64_t{last_} << 7 | std::uint64_t{resuming_} << 8);
   into.add(first_);
+  into.add(std::string_view(out_).substr(sent_));
   for (const auto& slot : slots_) {
     into.add(slot.name << 1 | std::uint64_t{slot.done});
     into.add(slot.reply);
