An id stays taken until the last byte of its answer is out

Found by exploring half-written answers: the engine freed an id when it gave the answer, though that could still wait behind others on its connection or for a slow reader; another client's request with it was served, where an error is owed.

Client connections now tell which answers are not all out, and the front end keeps their ids taken; an answer written at once, the usual case, costs nothing more. The trace frees-identity-early and a test on sockets fail without it.

--- a/src/engine/faults.h
+++ b/src/engine/faults.h
@@ -22,10 +22,11 @@
   kStopsWithoutSettling,  // the stop leaves open requests unanswered
   kKeepsIdentity,         // an id stays taken after its request's answer
   kReadsOnAfterSpoilt,    // what comes behind a spoilt answer is taken for the answer
+  kFreesIdentityEarly,    // an id is free though its answer is not all out
   kReportsEndTwice,       // the module is told of one end twice
 };
 
-constexpr int kMutants = 18;  // with kNone
+constexpr int kMutants = 19;  // with kNone
 
 #ifdef THISTLEPOND_MUTANTS
 inline thread_local Mutant active_mutant = Mutant::kNone;
--- a/src/explore/explorer.cpp
+++ b/src/explore/explorer.cpp
@@ -34,6 +34,7 @@
                                                                     "stops-without-settling",
                                                                     "keeps-identity",
                                                                     "reads-on-after-spoilt",
+                                                                    "frees-identity-early",
                                                                     "reports-end-twice"};
 
 // The fingerprints seen, in parts so that threads seldom wait for each other.
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -131,9 +131,11 @@
   link->start(std::make_unique<SimStream>(*this, conn));
 }
 
-std::uint64_t World::on_command(Ms now, resp::Ticket ticket, std::span<const resp::Item> words) {
+resp::Named World::on_command(Ms now, resp::Ticket ticket, std::span<const resp::Item> words) {
   return node_->front.on_command(now, ticket, words);
 }
+void World::on_unsent(std::uint64_t identity) { node_->front.on_unsent(identity); }
+void World::on_sent(std::uint64_t identity) { node_->front.on_sent(identity); }
 void World::on_client_gone(Ms now, std::uint64_t name) { node_->engine.gone(now, name); }
 void World::on_closed(std::uint64_t id) { node_->links.erase(id); }
 
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -89,7 +89,9 @@
   void on_attempt_end(Ms now, engine::AttemptId attempt, Outcome outcome, std::string_view value,
                       std::string_view report) override;
   // resp::ClientOwner, resp::Replies
-  std::uint64_t on_command(Ms now, resp::Ticket ticket, std::span<const resp::Item> words) override;
+  resp::Named on_command(Ms now, resp::Ticket ticket, std::span<const resp::Item> words) override;
+  void on_unsent(std::uint64_t identity) override;
+  void on_sent(std::uint64_t identity) override;
   void on_client_gone(Ms now, std::uint64_t name) override;
   void on_closed(std::uint64_t id) override;
   void answer(Ms now, resp::Ticket ticket, std::string_view reply) override;
--- a/src/explore/world_events.cpp
+++ b/src/explore/world_events.cpp
@@ -211,13 +211,9 @@
   const bool same = o.fault;
   if (!client.conn) connect_client(o.k);
   ++client.sent;
-  // An id is taken until the first byte of its answer; the gateway frees it when it has given the answer.
-  bool first_open = false;
+  bool first_open = false;  // as far as clients can know: until the last byte of its answer
   for (const auto& other : clients_) {
-    const bool begun = !other.reader.empty();
-    for (std::size_t n = begun ? 1 : 0; n < other.owed.size(); ++n) {
-      first_open = first_open || other.owed[n].request == 1;
-    }
+    for (const auto& owed : other.owed) first_open = first_open || owed.request == 1;
   }
   const bool mistake = same && first_open;
   client.owed.push_back({mistake ? 0 : i + 1});
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -93,7 +93,7 @@
   if (it != connections_.end()) it->second->reject(now, ticket.place, why);
 }
 
-std::uint64_t Clients::on_command(Ms, Ticket ticket, std::span<const resp::Item> words) {
+resp::Named Clients::on_command(Ms, Ticket ticket, std::span<const resp::Item> words) {
   return events_.on_command(ticket, words);
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -20,9 +20,12 @@
 class ClientEvents {
  public:
   virtual ~ClientEvents() = default;
-  // A well-framed command. Returns what to name if the client goes away before the answer; 0 for nothing.
-  virtual std::uint64_t on_command(Ticket ticket, std::span<const resp::Item> words) = 0;
+  // A well-framed command.
+  virtual resp::Named on_command(Ticket ticket, std::span<const resp::Item> words) = 0;
   virtual void on_client_gone(std::uint64_t name) = 0;
+  // See resp::ClientOwner.
+  virtual void on_unsent(std::uint64_t identity) = 0;
+  virtual void on_sent(std::uint64_t identity) = 0;
 };
 
 struct ClientLimits {
@@ -51,7 +54,9 @@
   bool make_room();
 
  private:
-  std::uint64_t on_command(Ms now, Ticket ticket, std::span<const resp::Item> words) override;
+  resp::Named on_command(Ms now, Ticket ticket, std::span<const resp::Item> words) override;
+  void on_unsent(std::uint64_t identity) override { events_.on_unsent(identity); }
+  void on_sent(std::uint64_t identity) override { events_.on_sent(identity); }
   void on_client_gone(Ms now, std::uint64_t name) override;
   void on_closed(std::uint64_t id) override { connections_.erase(id); }
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -154,10 +154,10 @@
 
 // ---- clients and hosts ----
 
-std::uint64_t Gateway::on_command(Ticket ticket, std::span<const resp::Item> words) {
-  const auto name = front_.on_command(clock_.now(), ticket, words);
+resp::Named Gateway::on_command(Ticket ticket, std::span<const resp::Item> words) {
+  const auto named = front_.on_command(clock_.now(), ticket, words);
   arm_timer();
-  return name;
+  return named;
 }
 
 void Gateway::on_client_gone(std::uint64_t name) { engine_.gone(clock_.now(), name); }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -35,7 +35,9 @@
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
  private:
-  std::uint64_t on_command(Ticket ticket, std::span<const resp::Item> words) override;
+  resp::Named on_command(Ticket ticket, std::span<const resp::Item> words) override;
+  void on_unsent(std::uint64_t identity) override { front_.on_unsent(identity); }
+  void on_sent(std::uint64_t identity) override { front_.on_sent(identity); }
   void on_client_gone(std::uint64_t name) override;
   void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                       std::string_view report) override;
--- a/src/resp/client_link.cpp
+++ b/src/resp/client_link.cpp
@@ -1,5 +1,6 @@
 #include "client_link.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -41,12 +42,12 @@
   Slot& slot = slots_[place - first_];
   if (slot.done) return;
   slot.done = true;
-  slot.name = 0;
+  const Named named = std::exchange(slot.named, Named{});
   if (place != first_ && !mutant(Mutant::kAnswersOutOfOrder)) {
     slot.reply = reply;
     totals_.unsent += slot.reply.size();
     slot.counted = slot.reply.size();
-    return;
+    return keep_unsent(named);
   }
   append(now, reply);
   while (!slots_.empty() && slots_.front().done) {
@@ -55,9 +56,18 @@
     slots_.pop_front(), ++first_;
   }
   if (!parsing_) write(now);
+  if (!out_.empty()) keep_unsent(named);
   if (held_back_) go_on_later();
 }
 
+// Danger: an id is taken until its client has the answer. Another request with it would be served meanwhile,
+// and two clients could not tell whose answer is whose.
+void ClientLink::keep_unsent(const Named& named) {
+  if (!named.request || closed_ || mutant(Mutant::kFreesIdentityEarly)) return;
+  unsent_.push_back(named.identity);
+  owner_.on_unsent(named.identity);
+}
+
 void ClientLink::reject(Ms now, std::uint64_t place, std::string_view why) {
   std::string reply;
   append_error(reply, why);
@@ -108,8 +118,9 @@
   const auto self = shared_from_this();
   owner_.on_closed(id_);
   for (auto& slot : std::exchange(slots_, {})) {
-    if (slot.name != 0) owner_.on_client_gone(now, slot.name);
+    if (slot.named.name != 0) owner_.on_client_gone(now, slot.named.name);
   }
+  for (const auto identity : std::exchange(unsent_, {})) owner_.on_sent(identity);
 }
 
 // Danger: many events share one reading of the clock, so it can't tell who was idle longest, and a client
@@ -196,9 +207,12 @@
       answer(now, ticket.place, reply);
       break;
     }
-    const auto name = owner_.on_command(now, ticket, frame_.items);
-    if (ticket.place >= first_ && !slots_.empty() && !slots_[ticket.place - first_].done) {
-      slots_[ticket.place - first_].name = name;
+    const Named named = owner_.on_command(now, ticket, frame_.items);
+    if (closed_) break;
+    if (ticket.place >= first_ && !slots_[ticket.place - first_].done) {
+      slots_[ticket.place - first_].named = named;
+    } else {
+      keep_unsent(named);  // answered at once, and written after this batch
     }
   }
 }
@@ -224,6 +238,10 @@
   totals_.unsent -= out_.size();
   out_.clear();
   sent_ = 0;
+  // Those of answers that wait behind others are kept for as long: they are few, and soon out too.
+  if (slots_.empty() || std::none_of(slots_.begin(), slots_.end(), [](const auto& s) { return s.done; })) {
+    for (const auto identity : std::exchange(unsent_, {})) owner_.on_sent(identity);
+  }
   if (out_.capacity() > kMostUnsent) out_.shrink_to_fit();
   // Danger: commands that were held back, or wait in the socket, have come in already; ending here would
   // leave them unanswered.
@@ -255,8 +273,9 @@
            std::uint64_t{lingering_} << 6 | std::uint64_t{last_} << 7 | std::uint64_t{resuming_} << 8);
   into.add(first_);
   into.add(std::string_view(out_).substr(sent_));
+  for (const auto identity : unsent_) into.add(identity);
   for (const auto& slot : slots_) {
-    into.add(slot.name << 1 | std::uint64_t{slot.done});
+    into.add(slot.named.name << 1 | std::uint64_t{slot.done});
     into.add(slot.reply);
   }
 }
--- a/src/resp/client_link.h
+++ b/src/resp/client_link.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "engine.h"
 #include "resp.h"
@@ -27,13 +28,23 @@
   std::uint64_t uses = 0;
 };
 
+// What a command has become.
+struct Named {
+  std::uint64_t name = 0;      // to name if the client goes away before the answer; 0: nothing
+  std::uint64_t identity = 0;  // the request's id on the wire, if it is one
+  bool request = false;        // it was taken as a request
+};
+
 // Who owns connections. Calls come from inside the connection's own.
 class ClientOwner {
  public:
   virtual ~ClientOwner() = default;
-  // A well-framed command; the words last until the call returns. Returns what to name if the client goes
-  // away before the answer; 0 for nothing.
-  virtual std::uint64_t on_command(Ms now, Ticket ticket, std::span<const Item> words) = 0;
+  // A well-framed command; the words last until the call returns.
+  virtual Named on_command(Ms now, Ticket ticket, std::span<const Item> words) = 0;
+  // The answer to a request with this identity is given and not all out: it waits behind others or for the
+  // client to read. `on_sent` follows, when it is out or can't go out any more.
+  virtual void on_unsent(std::uint64_t identity) = 0;
+  virtual void on_sent(std::uint64_t identity) = 0;
   virtual void on_client_gone(Ms now, std::uint64_t name) = 0;
   virtual void on_closed(std::uint64_t id) = 0;
 };
@@ -71,7 +82,7 @@
 
  private:
   struct Slot {
-    std::uint64_t name = 0;
+    Named named;
     bool done = false;
     std::size_t counted = 0;
     std::string reply;
@@ -86,6 +97,7 @@
   void parse(Ms now);
   void write(Ms now);
   void linger(Ms now);
+  void keep_unsent(const Named& named);
 
   ClientOwner& owner_;
   ClientTotals& totals_;
@@ -97,8 +109,9 @@
   std::uint64_t first_ = 0;  // place of the first of them
   std::string out_;
   std::size_t sent_ = 0;
-  Ms moved_ = 0;       // last progress
-  Ms half_since_ = 0;  // since when the next command is awaited or half here
+  std::vector<std::uint64_t> unsent_;  // identities whose answers are not all out
+  Ms moved_ = 0;                       // last progress
+  Ms half_since_ = 0;                  // since when the next command is awaited or half here
   std::size_t buffered_ = 0, mistakes_ = 0;
   std::uint64_t used_ = 0;
   bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -12,6 +12,7 @@
 constexpr Ms kLongestWait = 600'000;   // of a client; more is no sensible time
 constexpr double kMostReported = 1e5;  // of a figure in a load report; no host holds so many
 constexpr std::size_t kLongestName = 128;
+constexpr std::string_view kSameId = "ERR another open request has this id";
 constexpr CustomerId kCustomers = CustomerId{1} << 33;
 
 template <typename T>
@@ -87,10 +88,10 @@
 Front::Front(engine::Engine& engine, Replies& replies, Names names)
     : engine_(engine), replies_(replies), names_(std::move(names)) {}
 
-std::uint64_t Front::on_command(Ms now, Ticket ticket, std::span<const Item> words) {
+Named Front::on_command(Ms now, Ticket ticket, std::span<const Item> words) {
   if (words.empty()) {
     replies_.reject(now, ticket, "ERR empty command");
-    return 0;
+    return {};
   }
   const auto verb = words[0].text;
   if (same_word(verb, "SVC.QUERY") || same_word(verb, "SVC.SUBMIT")) return take(now, ticket, words);
@@ -106,10 +107,10 @@
       append_simple(reply, "PONG");
     }
     replies_.answer(now, ticket, reply);
-    return 0;
+    return {};
   }
   replies_.reject(now, ticket, "ERR unknown command '" + std::string(verb.substr(0, 64)) + "'");
-  return 0;
+  return {};
 }
 
 // One value of the list: the reason why it is none, or null.
@@ -185,25 +186,30 @@
   return nullptr;
 }
 
-std::uint64_t Front::take(Ms now, Ticket ticket, std::span<const Item> words) {
+Named Front::take(Ms now, Ticket ticket, std::span<const Item> words) {
   Parsed parsed;
   if (const char* why = parse(words, parsed)) {
     replies_.reject(now, ticket, std::string("ERR ") + why);
-    return 0;
+    return {};
+  }
+  const auto identity = parsed.wire_id;
+  if (unsent_.contains(identity)) {
+    replies_.reject(now, ticket, kSameId);
+    return {};
   }
   engine::Ask ask{parsed.request, parsed.wait, parsed.wire_id, std::move(parsed.order)};
   RequestId name = 0;
   switch (engine_.take(now, *this, ticket, std::move(ask), name)) {
     case engine::Taken::kYes:
-      return name;
+      return {name, identity, true};
     case engine::Taken::kSameId:
-      replies_.reject(now, ticket, "ERR another open request has this id");
-      return 0;
+      replies_.reject(now, ticket, kSameId);
+      return {};
     case engine::Taken::kNoRoom:  // nothing has been sent for it, so a refusal is lawful
       replies_.answer(now, ticket, "-BUSY\r\n");
-      return 0;
+      return {};
   }
-  return 0;
+  return {};
 }
 
 void Front::served(Ms now, Ticket ticket, std::string_view value) {
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "client_link.h"
@@ -36,8 +37,11 @@
  public:
   Front(engine::Engine& engine, Replies& replies, Names names);
 
-  // A command of a client: returns what to name in `Engine::gone`, or 0.
-  std::uint64_t on_command(Ms now, Ticket ticket, std::span<const Item> words);
+  // A command of a client; `Named::name` is what to name in `Engine::gone`.
+  Named on_command(Ms now, Ticket ticket, std::span<const Item> words);
+  // Between these an answered request's id stays taken: its answer is on its way to the client.
+  void on_unsent(std::uint64_t identity) { unsent_.insert(identity); }
+  void on_sent(std::uint64_t identity) { unsent_.erase(identity); }
   // PING is answered with PONG from here on.
   void set_ready() { ready_ = true; }
 
@@ -47,7 +51,7 @@
 
  private:
   struct Parsed;
-  std::uint64_t take(Ms now, Ticket ticket, std::span<const Item> words);
+  Named take(Ms now, Ticket ticket, std::span<const Item> words);
   const char* parse(std::span<const Item> words, Parsed& parsed) const;
   const char* field(std::string_view value, unsigned bit, Parsed& parsed) const;
 
@@ -55,6 +59,7 @@
   Replies& replies_;
   Names names_;
   bool ready_ = false;
+  std::unordered_set<std::uint64_t> unsent_;  // bounded by the answers that clients have not read
 };
 
 // A host's load report as text, `name=number` with commas between; `field_of` tells what a name means. What
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -95,6 +95,31 @@
   EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
 }
 
+// Found by the explorer: the engine has given the answer, but it waits behind another on its connection.
+TEST(Serving, AnIdIsTakenUntilItsAnswerIsOut) {
+  Listener host, discovery;
+  Program program(config(known({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client(), other = program.client();
+  client.send(query(1) + query(2));
+  auto first = host.accept(), second = host.accept();
+  const bool straight = first.command().at(2) == id(1);
+  second.command();
+  auto& of_one = straight ? first : second;
+  auto& of_two = straight ? second : first;
+  of_two.send(served("two"));
+  EXPECT_TRUE(client.quiet(50));
+  other.send(query(2));
+  EXPECT_EQ(other.reply().substr(0, 4), "-ERR");
+  of_one.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  EXPECT_EQ(client.reply(), "two");
+  let_rest();
+  other.send(query(2));  // free now; the connection used last is used again
+  EXPECT_EQ(of_one.command().at(2), id(2));
+  of_one.send(served("again"));
+  EXPECT_EQ(other.reply(), "again");
+}
+
 TEST(Serving, HalfARequestWaitsForItsRest) {
   Listener host, discovery;
   Program program(config(known({target("s-1", host.port())}), discovery.port()));
