--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -2,7 +2,7 @@
 // of the engine's tables: so they can disagree with it.
 //
 // A bystander reports events in order of time; each monitor may answer with a breach in words. Monitors
-// remember each request that they are told of, some 200 bytes, for good: they are for explorations and tests,
+// remember each request that they are told of for good: they are for explorations and tests,
 // not for service. Pure; not safe for threads.
 #pragma once
 
