Requests that never went out cost their customer nothing

A front end whose attempts are carried out by others can learn that a decision never left. Units were taken at the first send and kept whatever came of it. They are now given back, ceiling included, when a request is over and none of its attempts was sent.

--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -86,7 +86,12 @@
 
 void Control::State::forget_if_done(RequestId id) {
   const auto it = held.find(id);
-  if (it != held.end() && it->second.over && it->second.out() <= 0) held.erase(it);
+  if (it == held.end() || !it->second.over || it->second.out() > 0) return;
+  const auto& tries = it->second.attempts;
+  if (it->second.drew && std::all_of(tries.begin(), tries.end(), [](auto& a) { return a.never_sent; })) {
+    give_back(it->second);
+  }
+  held.erase(it);
 }
 
 bool Control::State::worth_trying(const Held& r) const {
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -55,6 +55,20 @@
   }
 }
 
+// A request that never went out costs its customer nothing.
+void Control::State::give_back(const Held& r) {
+  const auto it = customers.find(r.ask.customer);
+  if (it == customers.end()) return;
+  Customer& c = it->second;
+  const auto back = [&](TokenBucket& b) { b.level = std::min(b.volume, b.level + r.ask.units); };
+  if (plan(r).ceiling_rate > 0) back(c.ceiling);
+  back(c.whole);
+  if (!r.inside || plan(r).quota_rate <= 0) return;
+  back(c.parent);
+  back(c.children[r.ask.class_index].bucket);
+  c.given = std::max(c.given - r.ask.units, 0.0);
+}
+
 void Control::State::learn(Host& h, const Held& r, const AttemptEnd& e) {
   const Ms took = finite(e.took_ms, 0);
   const std::uint32_t c = r.ask.class_index;
@@ -112,6 +126,7 @@
   a.out = false;
   a.may_have_run =
       e.outcome != Outcome::kFull && e.outcome != Outcome::kConnectFailed && e.outcome != Outcome::kNotSent;
+  a.never_sent = e.outcome == Outcome::kNotSent;
   Host& h = hosts[a.host];
   if (a.overdue && !a.lost) h.overdue = std::max(h.overdue - 1, 0.0);
   if (!a.lost) h.out = std::max(h.out - 1, 0.0);
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -69,6 +69,7 @@
   Ms sent = 0;
   bool out = true;
   bool may_have_run = true;
+  bool never_sent = false;
   bool cancelled = false;
   bool overdue = false;  // see find_lost
   bool bad = false;      // and was told to its host's record
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -118,6 +118,7 @@
   // ---- events ----
   void admit(Held& r, Actions& out);
   void true_up(const Held& r, double units);
+  void give_back(const Held& r);
   void learn(Host& h, const Held& r, const AttemptEnd& e);
   void report(Host& h, const LoadReport& told, bool expected);
   void look_around(Actions& out);
--- a/tests/buckets_test.cpp
+++ b/tests/buckets_test.cpp
@@ -97,6 +97,21 @@
   EXPECT_FALSE(g.ask(3));
 }
 
+TEST(Buckets, WhatNeverWentOutCostsNothing) {
+  auto s = plain_settings();
+  s.max_attempts = 1;
+  for (const auto outcome : {Outcome::kNotSent, Outcome::kBroken}) {
+    Gateway g(s);
+    for (RequestId id = 1; id <= 20; ++id) {
+      if (!g.ask(id)) continue;
+      const auto* sent = g.out.of(Act::kSend, id);
+      g.end(id, 0, sent->host, outcome, 0, true);
+    }
+    g.out.take();
+    EXPECT_EQ(g.ask(100), outcome == Outcome::kNotSent);  // a slice of 4 is used up by what may have run
+  }
+}
+
 TEST(Ceilings, SlicesStartEmptyAndAreNeverPassed) {
   auto s = plain_settings();
   s.plans[0].beyond_earns = 1;  // soft: going beyond the quota earns what it costs
