--- a/bench/micro_bench.cpp
+++ b/bench/micro_bench.cpp
@@ -65,7 +65,7 @@
     last = a;
     return engine::StartResult::kStarted;
   }
-  void abandon(Ms, engine::AttemptId) override {}
+  bool abandon(Ms, engine::AttemptId) override { return true; }
   bool withdraw(Ms, engine::AttemptId) override { return false; }
   void retire(Ms, HostId) override {}
 };
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -17,7 +17,7 @@
 }  // namespace
 
 Engine::Engine(Module& module, HostSide& hosts, const Limits& limits, Note note)
-    : module_(module), hosts_(hosts), limits_(limits), note_(std::move(note)) {}
+    : module_(module), all_hosts_{&hosts}, limits_(limits), note_(std::move(note)) {}
 
 void Engine::start(Ms now) {
   now_ = now;
@@ -50,7 +50,8 @@
   consult(0, [&] { module_.on_list(now, kind, entries, *this); });
   const bool skip = threw_ && mutant(Mutant::kSkipsRetireOnThrow);
   for (const auto& e : entries) {
-    if (e.state != HostState::kReady && !skip) hosts_.retire(now, e.id);
+    if (e.state == HostState::kReady || skip) continue;
+    for (HostSide* hosts : all_hosts_) hosts->retire(now, e.id);
   }
   after_module();
 }
@@ -73,6 +74,7 @@
   held_bytes_ += bytes;
   Asked& r = asked_[id];
   r.front = &front;
+  r.hosts = ask.hosts ? ask.hosts : all_hosts_.front();
   r.ticket = ticket;
   r.payload = std::move(ask.payload);
   r.expires_at = expires_at;
@@ -112,7 +114,7 @@
     return end_try(request, index, Outcome::kNotSent, {});
   }
   tries_.emplace(attempt, std::pair{request, index});
-  const auto started = hosts_.start(now_, attempt, host, *r.payload, left);
+  const auto started = r.hosts->start(now_, attempt, host, *r.payload, left);
   if (started != StartResult::kStarted) {
     const bool here = started == StartResult::kNoRoomHere;
     return end_try(request, index, here ? Outcome::kNotSent : Outcome::kConnectFailed, {});
@@ -123,7 +125,7 @@
 void Engine::cancel(RequestId request, std::uint32_t attempt) {
   const auto it = asked_.find(request);
   if (it == asked_.end() || attempt >= it->second.tries.size() || !it->second.tries[attempt].out) return;
-  if (!mutant(Mutant::kServesLateAnswer)) hosts_.abandon(now_, it->second.tries[attempt].id);
+  if (!mutant(Mutant::kServesLateAnswer)) it->second.hosts->abandon(now_, it->second.tries[attempt].id);
   end_try(request, attempt, Outcome::kCancelled, {});
 }
 
@@ -157,6 +159,16 @@
   after_module();
 }
 
+void Engine::on_last_end(Ms now, AttemptId attempt, Outcome outcome, const LoadReport& load) {
+  now_ = now;
+  const auto it = tries_.find(attempt);
+  if (it == tries_.end()) return;
+  const auto [request, index] = it->second;
+  settle(request, [](FrontEnd&, Ticket) {});
+  end_try(request, index, outcome, load);
+  after_module();
+}
+
 // The one place where an attempt ends. The module is told from the queue: most calls come from inside it.
 void Engine::end_try(RequestId id, std::uint32_t attempt, Outcome outcome, const LoadReport& load) {
   const auto it = asked_.find(id);
@@ -235,7 +247,7 @@
   if (it == asked_.end() || mutant(Mutant::kSendsAfterAnswer)) return;
   for (std::uint32_t i = 0; i < it->second.tries.size(); ++i) {
     const Try& t = it->second.tries[i];
-    if (t.out && hosts_.withdraw(now_, t.id)) end_try(id, i, Outcome::kNotSent, {});
+    if (t.out && it->second.hosts->withdraw(now_, t.id)) end_try(id, i, Outcome::kNotSent, {});
   }
 }
 
@@ -269,8 +281,8 @@
   for (std::uint32_t i = 0; i < it->second.tries.size(); ++i) {
     const Try t = it->second.tries[i];
     if (!t.out || now_ < t.until) continue;
-    hosts_.abandon(now_, t.id);
-    end_try(id, i, Outcome::kTimedOut, {});
+    const bool silent = it->second.hosts->abandon(now_, t.id);
+    end_try(id, i, silent ? Outcome::kTimedOut : Outcome::kCancelled, {});
   }
   tell_ends();
   const auto left = asked_.find(id);
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -84,8 +84,9 @@
   // `left`: milliseconds that the attempt may take. Once started, exactly one `Engine::on_attempt_end` comes,
   // never from inside this call, unless the attempt is abandoned or withdrawn first.
   virtual StartResult start(Ms now, AttemptId attempt, HostId host, const Payload& payload, Ms left) = 0;
-  // Nobody waits for this attempt any more; it may have run. No end comes for it.
-  virtual void abandon(Ms now, AttemptId attempt) = 0;
+  // Nobody waits for this attempt any more; it may have run. No end comes for it. False: whether the host is
+  // to blame for the silence is not known here.
+  virtual bool abandon(Ms now, AttemptId attempt) = 0;
   // Abandons it if its last byte is not written yet, so that it never runs. False: it may run or has run.
   virtual bool withdraw(Ms now, AttemptId attempt) = 0;
   // Nothing new for this host. What waits for a connection to it ends; ends may be reported from inside.
@@ -105,6 +106,7 @@
   Ms wait = 0;                 // what its client waits in all, from now
   std::uint64_t identity = 0;  // as the hosts know it; two open requests never share one
   std::unique_ptr<Payload> payload;
+  HostSide* hosts = nullptr;  // that carries out its attempts; null: the one the engine was made with
 };
 
 enum class Taken : std::uint8_t {
@@ -119,6 +121,8 @@
 
   Engine(Module& module, HostSide& hosts, const Limits& limits, Note note);
 
+  // One more way to the hosts, for requests that name it. It must outlast the engine.
+  void add_hosts(HostSide& hosts) { all_hosts_.push_back(&hosts); }
   void start(Ms now);
   // The list's news. Hosts that became ready must be known to the hosts' side before; those that did not stay
   // ready are retired here.
@@ -133,6 +137,10 @@
   void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                       const LoadReport& load);
 
+  // The same where the client has its answer already, whatever the outcome: nothing is answered here any
+  // more, and no further attempt is made.
+  void on_last_end(Ms now, AttemptId attempt, Outcome outcome, const LoadReport& load);
+
   // When `run_due` has something to do; nothing if never. May change with every call.
   std::optional<Ms> next_due();
   void run_due(Ms now);
@@ -160,6 +168,7 @@
   };
   struct Asked {
     FrontEnd* front = nullptr;
+    HostSide* hosts = nullptr;
     Ticket ticket;
     std::unique_ptr<Payload> payload;
     Ms expires_at = 0;
@@ -207,7 +216,7 @@
   void drop_dead_timers();
 
   Module& module_;
-  HostSide& hosts_;
+  std::vector<HostSide*> all_hosts_;  // the first is the one that is used if none is named
   Limits limits_;
   Note note_;
   Ms now_ = 0;  // of the call that is being served
--- /dev/null
+++ b/src/extproc/host_load.cpp
@@ -0,0 +1,156 @@
+#include "host_load.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+#include <functional>
+#include <optional>
+
+#include "external_processor.pb.h"
+
+namespace thistlepond::extproc {
+
+namespace {
+
+namespace pb = envoy::service::ext_proc::v3;
+
+constexpr double kMostReported = 1e5;  // of a figure; no host holds so many
+constexpr std::size_t kLongest = 8192;
+
+using Figure = std::function<std::optional<double>(std::string_view name)>;
+
+std::optional<double> sensible(double value) {
+  if (!(value >= 0 && value <= kMostReported)) return {};
+  return value;
+}
+
+std::optional<double> first_of(const std::vector<std::string>& names, const Figure& figure) {
+  for (const auto& name : names) {
+    if (const auto value = figure(name)) return sensible(*value);
+  }
+  return {};
+}
+
+LoadReport report_of(const LoadMapping& mapping, const Figure& figure) {
+  LoadReport load;
+  load.queue = first_of(mapping.queue, figure);
+  load.in_hand = first_of(mapping.in_flight, figure);
+  load.busy = first_of(mapping.busy, figure);
+  return load;
+}
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  return text;
+}
+
+// The value behind `name` in a list of pairs.
+std::optional<double> in_text(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const auto pair = trimmed(list.substr(0, list.find(',')));
+    list.remove_prefix(std::min(list.find(',') == list.npos ? list.size() : list.find(',') + 1, list.size()));
+    const auto eq = pair.find('=');
+    if (eq == pair.npos || trimmed(pair.substr(0, eq)) != name) continue;
+    const auto value = trimmed(pair.substr(eq + 1));
+    double number = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (error == std::errc{} && end == value.data() + value.size()) return number;
+  }
+  return {};
+}
+
+std::optional<double> in_json(const boost::json::object& report, std::string_view name) {
+  const auto number = [](const boost::json::value* v) -> std::optional<double> {
+    boost::system::error_code error;
+    if (!v || !v->is_number()) return {};
+    return v->to_number<double>(error);
+  };
+  const auto dot = name.find('.');
+  if (dot == name.npos) return number(report.if_contains(name));
+  const auto* inner = report.if_contains(name.substr(0, dot));
+  if (!inner || !inner->is_object()) return {};
+  return number(inner->get_object().if_contains(name.substr(dot + 1)));
+}
+
+// proto3 sends no zeros: a plain figure that is not there is 0.
+std::optional<double> in_message(const pb::OrcaLoadReport& report, std::string_view name) {
+  if (name == "cpu_utilization") return report.cpu_utilization();
+  if (name == "application_utilization") {
+    if (report.application_utilization() == 0) return {};  // then the processor's counts
+    return report.application_utilization();
+  }
+  if (name == "mem_utilization") return report.mem_utilization();
+  if (name == "rps_fractional") return report.rps_fractional();
+  if (name == "eps") return report.eps();
+  const auto dot = name.find('.');
+  if (dot == name.npos) return {};
+  const auto map = name.substr(0, dot);
+  const auto& figures = map == "named_metrics" ? report.named_metrics()
+                        : map == "utilization" ? report.utilization()
+                                               : report.request_cost();
+  const auto it = figures.find(std::string(name.substr(dot + 1)));
+  if (it == figures.end()) return {};
+  return it->second;
+}
+
+std::optional<std::string> from_base64(std::string_view text) {
+  std::string out;
+  std::uint32_t bits = 0;
+  int have = 0;
+  while (!text.empty() && text.back() == '=') text.remove_suffix(1);
+  for (const char c : text) {
+    int digit = -1;
+    if (c >= 'A' && c <= 'Z') digit = c - 'A';
+    if (c >= 'a' && c <= 'z') digit = c - 'a' + 26;
+    if (c >= '0' && c <= '9') digit = c - '0' + 52;
+    if (c == '+' || c == '-') digit = 62;
+    if (c == '/' || c == '_') digit = 63;
+    if (digit < 0) return {};
+    bits = bits << 6 | static_cast<std::uint32_t>(digit);
+    if ((have += 6) >= 8) out += static_cast<char>(bits >> (have -= 8) & 0xff);
+  }
+  return out;
+}
+
+}  // namespace
+
+LoadReport read_orca(const LoadMapping& mapping, std::string_view value) {
+  if (value.size() > kLongest) return {};
+  const auto space = value.find(' ');
+  if (space == value.npos) return {};
+  const auto form = value.substr(0, space);
+  const auto rest = trimmed(value.substr(space));
+  if (form == "TEXT") {
+    return report_of(mapping, [&](std::string_view name) { return in_text(rest, name); });
+  }
+  if (form == "BIN") return read_orca_binary(mapping, rest);
+  if (form != "JSON") return {};
+  boost::system::error_code error;
+  const auto json = boost::json::parse(rest, error);
+  if (error || !json.is_object()) return {};
+  return report_of(mapping, [&](std::string_view name) { return in_json(json.get_object(), name); });
+}
+
+LoadReport read_orca_binary(const LoadMapping& mapping, std::string_view base64) {
+  if (base64.size() > kLongest) return {};
+  const auto bytes = from_base64(trimmed(base64));
+  pb::OrcaLoadReport report;
+  if (!bytes || !report.ParseFromString(*bytes)) return {};
+  return report_of(mapping, [&](std::string_view name) { return in_message(report, name); });
+}
+
+LoadReport read_plain(std::string_view value) {
+  if (value.size() > kLongest) return {};
+  LoadReport load;
+  const auto figure = [&](std::string_view name) {
+    const auto n = in_text(value, name);
+    return n ? sensible(*n) : std::nullopt;
+  };
+  load.queue = figure("queue");
+  load.in_hand = figure("in_flight");
+  load.busy = figure("busy");
+  return load;
+}
+
+}  // namespace thistlepond::extproc
--- /dev/null
+++ b/src/extproc/outcomes.cpp
@@ -0,0 +1,135 @@
+#include "outcomes.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace thistlepond::extproc {
+
+namespace {
+
+struct ByDetails {
+  std::string_view prefix;
+  Outcome outcome;
+  const char* why;
+};
+
+// The first that fits. Danger: a row that says 'has not run' lets an order be sent again, so only causes that
+// prove it stand there; what is not known may have run.
+constexpr ByDetails kDetails[] = {
+    {"upstream_reset_before_response_started{connection_failure", Outcome::kConnectFailed,
+     "no connection came up"},
+    {"upstream_reset_before_response_started{remote_connection_failure", Outcome::kConnectFailed,
+     "no connection came up"},
+    {"upstream_reset_before_response_started{local_connection_failure", Outcome::kConnectFailed,
+     "no connection came up"},
+    {"upstream_reset_before_response_started{connection_timeout", Outcome::kConnectFailed,
+     "no connection came up in time"},
+    {"upstream_reset_before_response_started{overflow", Outcome::kNotSent, "the proxy's own limit"},
+    {"upstream_reset_before_response_started{remote_refused_stream_reset", Outcome::kFull,
+     "the host refused the stream (RFC 9113 section 8.7)"},
+    {"upstream_reset_before_response_started", Outcome::kBroken, "the connection broke"},
+    {"upstream_reset_after_response_started", Outcome::kBroken, "the connection broke inside the answer"},
+    {"upstream_response_timeout", Outcome::kTimedOut, "the time told was up"},
+    {"response_timeout", Outcome::kTimedOut, "the time told was up"},
+    {"upstream_per_try_timeout", Outcome::kTimedOut, "the try's time was up"},
+    {"upstream_per_try_idle_timeout", Outcome::kTimedOut, "the try's time was up"},
+    {"upstream_max_stream_duration_reached", Outcome::kTimedOut, "the time told was up"},
+    {"no_healthy_upstream", Outcome::kNotSent, "the proxy had nowhere to send it"},
+    {"cluster_not_found", Outcome::kNotSent, "the proxy had nowhere to send it"},
+    {"route_not_found", Outcome::kNotSent, "the proxy had nowhere to send it"},
+    {"direct_response", Outcome::kNotSent, "the proxy answered by itself"},
+    {"maintenance_mode", Outcome::kNotSent, "the proxy answered by itself"},
+    {"overload_manager", Outcome::kNotSent, "the proxy answered by itself"},
+};
+
+Outcome by_grpc(std::string_view status) {
+  int code = 2;
+  std::from_chars(status.data(), status.data() + status.size(), code);
+  switch (code) {
+    case 4:
+      return Outcome::kTimedOut;
+    case 2:
+    case 13:
+    case 14:
+    case 15:
+      return Outcome::kError;
+    default:
+      return Outcome::kOk;
+  }
+}
+
+Outcome by_status(int status, std::span<const int> not_run) {
+  if (std::find(not_run.begin(), not_run.end(), status) != not_run.end()) return Outcome::kFull;
+  if (status == 408 || status == 504) return Outcome::kTimedOut;
+  if (status >= 500 || status < 100) return Outcome::kError;
+  return Outcome::kOk;
+}
+
+const char* name_of(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+      return "answered | yes";
+    case Outcome::kError:
+      return "error | may have";
+    case Outcome::kFull:
+      return "full | no";
+    case Outcome::kTimedOut:
+      return "timed out | may have";
+    case Outcome::kConnectFailed:
+      return "not connected | no";
+    case Outcome::kBroken:
+      return "broken | may have";
+    case Outcome::kCancelled:
+      return "not known | may have";
+    case Outcome::kNotSent:
+      return "not sent | no";
+  }
+  return "";
+}
+
+std::string line(const std::string& seen, Outcome outcome, const std::string& why) {
+  return "| " + seen + " | " + name_of(outcome) + " | " + why + " |\n";
+}
+
+}  // namespace
+
+Outcome outcome_of(const Seen& seen, std::span<const int> not_run) {
+  if (!seen.details.empty() && seen.details != "via_upstream") {
+    for (const auto& row : kDetails) {
+      if (seen.details.starts_with(row.prefix)) return row.outcome;
+    }
+    return Outcome::kCancelled;
+  }
+  if (seen.overloaded && seen.details.empty()) return Outcome::kNotSent;
+  if (seen.grpc && !seen.grpc_status.empty() && seen.status == 200) return by_grpc(seen.grpc_status);
+  return by_status(seen.status, not_run);
+}
+
+std::string outcome_table(std::span<const int> not_run) {
+  std::string text =
+      "| The proxy reports | Outcome | Has it run? | Why |\n"
+      "|---|---|---|---|\n";
+  for (const auto& row : kDetails) {
+    text += line("details `" + std::string(row.prefix) + "…`", row.outcome, row.why);
+  }
+  text += line("any other details but `via_upstream`", Outcome::kCancelled,
+               "the proxy or the client ended it; the host is not blamed");
+  text += line("no details, `x-envoy-overloaded` or `x-envoy-local-overloaded`", Outcome::kNotSent,
+               "the proxy's own limit");
+  for (const auto& [code, why] :
+       {std::pair{"4", "the host's own timeout"}, std::pair{"2", "unknown"}, std::pair{"13", "internal"},
+        std::pair{"14", "unavailable: no promise that it has not begun"}, std::pair{"15", "data loss"}}) {
+    text += line(std::string("`grpc-status: ") + code + "` in the headers", by_grpc(code), why);
+  }
+  text += line("any other `grpc-status` in the headers", by_grpc("0"), "the host's answer");
+  for (const int status : not_run) {
+    text += line("status " + std::to_string(status), by_status(status, not_run),
+                 "by the setting `not_run`: hosts say it before they begin");
+  }
+  text += line("status 408 or 504", by_status(504, {}), "the host's own timeout");
+  text += line("status 500 to 599", by_status(500, {}), "the host failed");
+  text += line("any other status", by_status(200, {}), "the host's answer, good or bad");
+  return text;
+}
+
+}  // namespace thistlepond::extproc
--- /dev/null
+++ b/src/extproc/responses.cpp
@@ -0,0 +1,136 @@
+#include "responses.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "external_processor.pb.h"
+
+namespace thistlepond::extproc {
+
+namespace {
+
+namespace pb = envoy::service::ext_proc::v3;
+
+constexpr const char* kEndpointHeader = "x-gateway-destination-endpoint";
+constexpr const char* kOriginalDst = "x-envoy-original-dst-host";
+
+// Room for one response on the stack.
+class Arena {
+ public:
+  google::protobuf::Arena* get() { return &arena_; }
+
+ private:
+  static google::protobuf::ArenaOptions options(char* space, std::size_t size) {
+    google::protobuf::ArenaOptions made;
+    made.initial_block = space;
+    made.initial_block_size = size;
+    return made;
+  }
+  alignas(8) char space_[4096];
+  google::protobuf::Arena arena_{options(space_, sizeof space_)};
+};
+
+// Envoy takes header values from `raw_value` alone, and replaces what a client may have sent under that name.
+void set(pb::HeaderMutation& mutation, const char* name, std::string_view value) {
+  auto* option = mutation.add_set_headers();
+  option->mutable_header()->set_key(name);
+  option->mutable_header()->set_raw_value(value.data(), value.size());
+  option->set_append_action(pb::HeaderValueOption::OVERWRITE_IF_EXISTS_OR_ADD);
+}
+
+std::string whole(Ms ms, double (*round)(double)) {
+  return std::to_string(static_cast<std::int64_t>(std::max(round(ms), 1.0)));
+}
+
+}  // namespace
+
+std::string route_response(const Route& route, const Destination& destination) {
+  Arena arena;
+  auto& response = *google::protobuf::Arena::CreateMessage<pb::ProcessingResponse>(arena.get());
+  auto& mutation = *response.mutable_request_headers()->mutable_response()->mutable_header_mutation();
+  // Danger: a client's own word for the destination must not stand where ours does not.
+  if (destination.header) {
+    set(mutation, kEndpointHeader, route.endpoint);
+  } else {
+    mutation.add_remove_headers(kEndpointHeader);
+  }
+  if (destination.original_dst) {
+    set(mutation, kOriginalDst, route.endpoint);
+  } else {
+    mutation.add_remove_headers(kOriginalDst);
+  }
+  if (destination.metadata) {
+    auto& lb = *(*response.mutable_dynamic_metadata()->mutable_fields())["envoy.lb"].mutable_struct_value();
+    (*lb.mutable_fields())[kEndpointHeader].set_string_value(route.endpoint.data(), route.endpoint.size());
+  }
+  set(mutation, "x-envoy-upstream-rq-timeout-ms", whole(route.left, std::floor));
+  if (!route.keep_retries) {
+    set(mutation, "x-envoy-max-retries", "0");
+    for (const char* asks : {"x-envoy-retry-on", "x-envoy-retry-grpc-on", "x-envoy-hedge-on-per-try-timeout",
+                             "x-envoy-upstream-rq-per-try-timeout-ms"}) {
+      mutation.add_remove_headers(asks);
+    }
+  }
+  if (route.override_modes) {
+    auto& mode = *response.mutable_mode_override();
+    mode.set_response_header_mode(pb::ProcessingMode::SEND);
+    mode.set_request_trailer_mode(pb::ProcessingMode::SKIP);
+    mode.set_response_trailer_mode(pb::ProcessingMode::SKIP);
+  }
+  return response.SerializeAsString();
+}
+
+std::string immediate_response(const Immediate& immediate) {
+  Arena arena;
+  auto& response = *google::protobuf::Arena::CreateMessage<pb::ProcessingResponse>(arena.get());
+  auto& answer = *response.mutable_immediate_response();
+  answer.mutable_status()->set_code(immediate.status);
+  auto& headers = *answer.mutable_headers();
+  if (immediate.retry_after >= 1) {
+    set(headers, "retry-after", whole(immediate.retry_after / 1000, std::ceil));
+    set(headers, "retry-after-ms", whole(immediate.retry_after, std::ceil));
+    // gRPC's retry design (proposal A6): how long the client waits before it tries again.
+    if (immediate.grpc) set(headers, "grpc-retry-pushback-ms", whole(immediate.retry_after, std::ceil));
+  }
+  if (immediate.grpc) answer.mutable_grpc_status()->set_status(static_cast<unsigned>(immediate.grpc_status));
+  if (!immediate.body.empty()) {
+    if (!immediate.grpc) set(headers, "content-type", "text/plain");
+    answer.set_body(immediate.body.data(), immediate.body.size());
+  }
+  answer.set_details(immediate.details.data(), immediate.details.size());
+  return response.SerializeAsString();
+}
+
+std::string continue_response(Part part) {
+  pb::ProcessingResponse response;
+  switch (part) {
+    case Part::kResponseHeaders:
+      response.mutable_response_headers();
+      break;
+    case Part::kRequestBody:
+      response.mutable_request_body();
+      break;
+    case Part::kResponseBody:
+      response.mutable_response_body();
+      break;
+    case Part::kRequestTrailers:
+      response.mutable_request_trailers();
+      break;
+    case Part::kResponseTrailers:
+      response.mutable_response_trailers();
+      break;
+  }
+  return response.SerializeAsString();
+}
+
+std::string echo_response(Part part, std::string_view body, bool end) {
+  pb::ProcessingResponse response;
+  auto& answer =
+      part == Part::kRequestBody ? *response.mutable_request_body() : *response.mutable_response_body();
+  auto& piece = *answer.mutable_response()->mutable_body_mutation()->mutable_streamed_response();
+  piece.set_body(body.data(), body.size());
+  piece.set_end_of_stream(end);
+  return response.SerializeAsString();
+}
+
+}  // namespace thistlepond::extproc
--- /dev/null
+++ b/src/http2/grpc_client.h
@@ -0,0 +1,36 @@
+// The client side of gRPC on one HTTP/2 connection (`Session` in the client role). Pure, as that is.
+#pragma once
+
+#include <memory>
+#include <string_view>
+
+#include "grpc.h"
+#include "session.h"
+
+namespace thistlepond::http2::grpc {
+
+class ClientCallEvents {
+ public:
+  virtual ~ClientCallEvents() = default;
+  // Lasts until the call returns.
+  virtual void on_message(Ms now, std::string_view message) = 0;
+  // The call is over; the last event. Without a status from the server: one from how the stream ended, as
+  // grpc/doc/http-grpc-status-mapping.md and the table of HTTP/2 error codes have it.
+  virtual void on_status(Ms now, const Status& status) = 0;
+};
+
+// Valid until `on_status` has returned.
+class ClientCall {
+ public:
+  virtual ~ClientCall() = default;
+  virtual void send(std::string_view message) = 0;
+  virtual void half_close() = 0;
+  virtual void cancel() = 0;
+};
+
+// Null if no stream is to be had. `message_bytes`: of one message from the server.
+ClientCall* start_call(Session& session, std::string_view authority, std::string_view path,
+                       const Headers& metadata, std::unique_ptr<ClientCallEvents> events,
+                       std::size_t message_bytes = 4 * 1024 * 1024);
+
+}  // namespace thistlepond::http2::grpc
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -26,6 +26,11 @@
 constexpr Ms kLastBytes = 150;  // for clients to read their last answers
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
+std::string to_text(const asio::ip::tcp::endpoint& at) {
+  const auto ip = at.address().to_string();
+  return (at.address().is_v6() ? "[" + ip + "]" : ip) + ":" + std::to_string(at.port());
+}
+
 std::uint32_t index_of(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
 }
@@ -91,6 +96,9 @@
       timer_(io),
       stop_timer_(io) {
   hosts_.set_make_room([this] { return clients_.make_room(); });
+  if (config_.own.processor_at) {
+    processor_ = std::make_unique<ProcessorServer>(io, clock, engine_, config_, [this] { arm_timer(); });
+  }
 }
 Gateway::~Gateway() = default;
 
@@ -98,6 +106,7 @@
   engine_.start(clock_.now());
   apply(config_.known, ListKind::kCached);
   clients_.listen(config_.listen);
+  if (processor_) processor_->listen();
   discovery_.start(config_.known.version);
 }
 
@@ -125,7 +134,10 @@
     e.zone = index_of(config_.zones, t.zone);
     e.cell = t.cell;
     e.size = t.size;
-    if (e.state == HostState::kReady) hosts_.add(id, t.endpoint, e.started_at);
+    if (e.state == HostState::kReady) {
+      hosts_.add(id, t.endpoint, e.started_at);
+      if (processor_) processor_->processor().add(id, to_text(t.endpoint));
+    }
     all.push_back(e);
   }
   return all;
@@ -171,18 +183,28 @@
 // ---- time ----
 
 void Gateway::arm_timer() {
-  const auto due = engine_.next_due();
+  auto due = engine_.next_due();
+  if (processor_) {
+    const auto fetch = processor_->processor().next_due();
+    if (fetch && (!due || *fetch < *due)) due = fetch;
+  }
   if (!due || (timer_at_ > 0 && timer_at_ <= *due)) return;
   timer_at_ = *due;
   timer_.expires_at(clock_.at(timer_at_));
   timer_.async_wait([this](error_code error) {
     if (error) return;
     timer_at_ = 0;
-    engine_.run_due(clock_.now());
+    run_due();
     arm_timer();
   });
 }
 
+void Gateway::run_due() {
+  const Ms now = clock_.now();
+  engine_.run_due(now);
+  if (processor_) processor_->run_due(now);
+}
+
 // ---- a new configuration ----
 
 void Gateway::reload(const Config& config) {
@@ -191,6 +213,10 @@
     discovery_.move(config.discovery);
     log_line("discovery is now at", config.discovery.address().to_string());
   }
+  if (processor_) processor_->reload(config);
+  if (config.own.processor_at.has_value() != (processor_ != nullptr)) {
+    log_line("switching the external processor on or off needs a restart");
+  }
   if (config.settings_text != config_.settings_text || config.sockets != config_.sockets ||
       config.memory_mb != config_.memory_mb || config.listen != config_.listen) {
     log_line("the new configuration changes what needs a restart: kept as it was");
@@ -202,10 +228,12 @@
 void Gateway::stop() {
   if (engine_.settle_at()) return;
   engine_.stop(clock_.now());
+  if (processor_) processor_->listener().announce_drain();
   stop_timer_.expires_after(kStillComing);
   stop_timer_.async_wait([this](error_code error) {
     if (error) return;
     clients_.wind_down();
+    if (processor_) processor_->listener().drain();
     await_stopped();
   });
 }
@@ -213,7 +241,11 @@
 void Gateway::await_stopped() {
   const Ms now = clock_.now(), settle_at = *engine_.settle_at();
   if (engine_.owed() > 0 && now >= settle_at) engine_.settle_all(now);
-  if (clients_.connections() == 0 || now >= settle_at + kLastBytes) return on_stopped_();
+  const std::size_t proxies = processor_ ? processor_->listener().connections() : 0;
+  if (clients_.connections() + proxies == 0 || now >= settle_at + kLastBytes) {
+    if (processor_) log_line("external processor", extproc::to_text(processor_->processor().totals()));
+    return on_stopped_();
+  }
   stop_timer_.expires_after(kLookAgain);
   stop_timer_.async_wait([this](error_code error) {
     if (!error) await_stopped();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "front.h"
 #include "hosts.h"
 #include "module.h"
+#include "processor_server.h"
 
 namespace thistlepond::net {
 
@@ -33,6 +35,8 @@
   // A new configuration: what it names anew is used from now on, and work in flight goes on.
   void reload(const Config& config);
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
+  // Null if there is none.
+  const extproc::Processor* processor() const { return processor_ ? &processor_->processor() : nullptr; }
 
  private:
   resp::Named on_command(Ticket ticket, std::span<const resp::Item> words) override;
@@ -46,6 +50,7 @@
   std::vector<HostEntry> entries(const TargetList& list);
   void apply(const TargetList& list, ListKind kind);
   void arm_timer();
+  void run_due();
   void await_stopped();
 
   Clock& clock_;
@@ -55,6 +60,7 @@
   Hosts hosts_;
   engine::Engine engine_;
   resp::Front front_;
+  std::unique_ptr<ProcessorServer> processor_;
   Discovery discovery_;
   std::function<void()> on_stopped_;
 
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -14,10 +14,12 @@
 #include "config.h"
 #include "gateway.h"
 #include "log.h"
+#include "outcomes.h"
 
 namespace {
 
 using namespace thistlepond::net;
+namespace extproc = thistlepond::extproc;
 
 // The soft limit on descriptors may lie under what the configuration grants.
 void raise_descriptor_limit(std::size_t sockets) {
@@ -47,13 +49,22 @@
 
 const char* variable(const char* name) { return std::getenv(name); }
 
-// SIGHUP: the file has changed. Danger: a file that can't be read must not end a gateway that serves.
-void await_reload(boost::asio::signal_set& hangups, Gateway& gateway) {
+// What the command line asks for; by default what the platform starts.
+struct Options {
+  std::string settings;
+  std::string check;
+  bool outcomes = false;
+};
+
+// SIGHUP: the files have changed. Danger: a file that can't be read must not end a gateway that serves.
+void await_reload(boost::asio::signal_set& hangups, Gateway& gateway, const Options& options) {
   hangups.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
-    await_reload(hangups, gateway);
+    await_reload(hangups, gateway, options);
     try {
-      gateway.reload(reload_config(variable));
+      Config config = reload_config(variable);
+      if (!options.settings.empty()) config.own = read_own_settings(options.settings);
+      gateway.reload(config);
       log_line("configuration read again");
     } catch (const std::exception& bad) {
       log_line("the new configuration is bad, the old one is kept", bad.what());
@@ -61,16 +72,11 @@
   });
 }
 
-// What the command line asks for; by default what the platform starts.
-struct Options {
-  std::string settings;
-  std::string check;
-};
-
 int check_config(const Options& options) {
   try {
-    if (!options.settings.empty()) read_own_settings(options.settings);
-    const Config config = read_config_file(options.check);
+    Config config = read_config_file(options.check);
+    if (!options.settings.empty()) config.own = read_own_settings(options.settings);
+    if (config.own.processor_at) extproc::check(config.own.processor, processor_names(config));
     std::printf("%s: good: %zu classes, %zu plans, %zu hosts known\n", options.check.c_str(),
                 config.class_names.size(), config.plan_names.size(), config.known.targets.size());
     return 0;
@@ -80,6 +86,18 @@
   }
 }
 
+int print_outcomes(const Options& options) {
+  try {
+    OwnSettings own;
+    if (!options.settings.empty()) own = read_own_settings(options.settings);
+    std::printf("%s", extproc::outcome_table(own.processor.not_run).c_str());
+    return 0;
+  } catch (const std::exception& bad) {
+    std::fprintf(stderr, "%s\n", bad.what());
+    return 1;
+  }
+}
+
 int serve(const Options& options) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
@@ -94,7 +112,7 @@
     if (!error) gateway.stop();
   });
   boost::asio::signal_set hangups(io, SIGHUP);
-  await_reload(hangups, gateway);
+  await_reload(hangups, gateway, options);
   gateway.start();
   const auto at = gateway.address();
   log_line("ready: " + config.name, at.address().to_string() + ":" + std::to_string(at.port()));
@@ -114,8 +132,10 @@
     app.set_version_flag("--version", "cometfold " COMETFOLD_VERSION);
     app.add_option("--settings", options.settings, "the gateway's own settings, as deploy/cometfold.toml");
     app.add_option("--check-config", options.check, "say whether a configuration is good, and end");
+    app.add_flag("--outcomes", options.outcomes, "print how a proxy's reports are read, and end");
     CLI11_PARSE(app, argc, argv);
   }
+  if (options.outcomes) return print_outcomes(options);
   if (!options.check.empty()) return check_config(options);
   try {
     return serve(options);
--- a/src/net/own_settings.h
+++ b/src/net/own_settings.h
@@ -2,10 +2,14 @@
 // if the file is not there, and those are the ones in service.
 #pragma once
 
+#include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
+#include "grpc_listener.h"
+#include "processor_settings.h"
 #include "thistlepond/control.h"
 
 namespace thistlepond::net {
@@ -21,6 +25,11 @@
   std::size_t idle_per_host = 16;  // connections kept for a host beyond what is out; more are closed
   std::size_t per_host = 96;       // connections to one host
   double descriptors_share = 0.4;  // of the descriptors, for connections to hosts
+
+  // [extproc]: the external processor; without an address there is none.
+  std::optional<boost::asio::ip::tcp::endpoint> processor_at;
+  extproc::Settings processor;
+  GrpcLimits grpc;
 };
 
 // Throws OwnSettingsError. Names that are not known are errors: a slip of the pen must not go unnoticed.
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -329,12 +329,13 @@
   return StartResult::kStarted;
 }
 
-void HostPool::abandon(Ms, AttemptId attempt) {
+bool HostPool::abandon(Ms, AttemptId attempt) {
   const auto it = out_.find(attempt);
-  if (it == out_.end()) return;
+  if (it == out_.end()) return true;
   const auto link = it->second;
   out_.erase(it);
   link->close();
+  return true;
 }
 
 bool HostPool::withdraw(Ms now, AttemptId attempt) {
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -59,7 +59,7 @@
 
   StartResult start(Ms now, AttemptId attempt, HostId host, const engine::Payload& payload, Ms left) override;
   StartResult start(Ms now, AttemptId attempt, HostId host, std::string request);
-  void abandon(Ms now, AttemptId attempt) override;
+  bool abandon(Ms now, AttemptId attempt) override;
   bool withdraw(Ms now, AttemptId attempt) override;
   void retire(Ms now, HostId host) override;
 
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -53,7 +53,10 @@
     if (answer == StartResult::kStarted) out.insert(last = a), to[a] = h;
     return answer;
   }
-  void abandon(Ms, AttemptId a) override { out.erase(a); }
+  bool abandon(Ms, AttemptId a) override {
+    out.erase(a);
+    return true;
+  }
   bool withdraw(Ms, AttemptId a) override { return !written.contains(a) && out.erase(a) > 0; }
   void retire(Ms, HostId h) override { retired.insert(h); }
 };
--- /dev/null
+++ b/tests/extproc_support.h
@@ -0,0 +1,251 @@
+// A processor with the real engine and module behind it, and calls whose messages are seen as they leave.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "engine.h"
+#include "external_processor.pb.h"
+#include "module.h"
+#include "processor.h"
+
+namespace thistlepond::extproc::testing {
+
+namespace pb = envoy::service::ext_proc::v3;
+using http2::grpc::Code;
+using http2::grpc::Status;
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+inline void fill(pb::HeaderMap& map, const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    auto* h = map.add_headers();
+    h->set_key(name);
+    h->set_raw_value(value);
+  }
+}
+inline std::string request_headers(const HeaderList& headers, bool end = true) {
+  pb::ProcessingRequest m;
+  fill(*m.mutable_request_headers()->mutable_headers(), headers);
+  m.mutable_request_headers()->set_end_of_stream(end);
+  return m.SerializeAsString();
+}
+inline std::string response_headers(const HeaderList& headers, const HeaderList& attributes = {},
+                                    bool end = false) {
+  pb::ProcessingRequest m;
+  fill(*m.mutable_response_headers()->mutable_headers(), headers);
+  m.mutable_response_headers()->set_end_of_stream(end);
+  for (const auto& [name, value] : attributes) {
+    (*(*m.mutable_attributes())["envoy.filters.http.ext_proc"].mutable_fields())[name].set_string_value(
+        value);
+  }
+  return m.SerializeAsString();
+}
+
+// What a decision says.
+struct Decision {
+  std::string endpoint;  // empty: the client is answered
+  std::map<std::string, std::string> set;
+  std::vector<std::string> removed;
+  std::string metadata;
+  int status = 0;
+  std::optional<int> grpc_status;
+  std::string details, body;
+};
+inline Decision decision_in(const std::string& bytes) {
+  pb::ProcessingResponse m;
+  EXPECT_TRUE(m.ParseFromString(bytes));
+  Decision d;
+  const bool immediate = m.has_immediate_response();
+  const auto& mutation =
+      immediate ? m.immediate_response().headers() : m.request_headers().response().header_mutation();
+  for (const auto& h : mutation.set_headers()) {
+    EXPECT_EQ(h.append_action(), pb::HeaderValueOption::OVERWRITE_IF_EXISTS_OR_ADD);
+    d.set[h.header().key()] = h.header().raw_value();
+  }
+  d.removed.assign(mutation.remove_headers().begin(), mutation.remove_headers().end());
+  if (immediate) {
+    d.status = m.immediate_response().status().code();
+    if (m.immediate_response().has_grpc_status()) {
+      d.grpc_status = static_cast<int>(m.immediate_response().grpc_status().status());
+    }
+    d.details = m.immediate_response().details();
+    d.body = m.immediate_response().body();
+    return d;
+  }
+  EXPECT_TRUE(m.has_request_headers());
+  const auto lb = m.dynamic_metadata().fields().find("envoy.lb");
+  if (lb != m.dynamic_metadata().fields().end()) {
+    d.metadata = lb->second.struct_value().fields().at("x-gateway-destination-endpoint").string_value();
+  }
+  for (const char* name : {"x-gateway-destination-endpoint", "x-envoy-original-dst-host"}) {
+    if (d.set.contains(name)) d.endpoint = d.set[name];
+  }
+  if (d.endpoint.empty()) d.endpoint = d.metadata;
+  return d;
+}
+
+// One call as the proxy sees it. Messages wait in `out` until `flush`.
+class FakeCall : public http2::grpc::Call {
+ public:
+  void send(std::string_view message) override {
+    EXPECT_FALSE(status) << "sent after the end";
+    out.emplace_back(message);
+    if (!held) flush();
+  }
+  bool take_back() override {
+    if (out.empty()) return false;
+    out.pop_back();
+    return true;
+  }
+  void finish(const Status& s) override {
+    EXPECT_FALSE(status) << "ended twice";
+    status = s;
+  }
+  void flush() {
+    for (auto& m : out) got.push_back(std::move(m));
+    out.clear();
+  }
+  Decision decision() const {
+    EXPECT_FALSE(got.empty());
+    return got.empty() ? Decision{} : decision_in(got.at(0));
+  }
+
+  bool held = false;  // the proxy does not take what is sent
+  std::vector<std::string> out, got;
+  std::optional<Status> status;
+};
+
+inline Names names() {
+  Names n{{"lookup", "hold", "zoned", "pay"}, {"team", "tiny"}, {}};
+  auto& s = n.settings;
+  s.classes = {{20'000, 30'000, 1, 0, Repeat::kSafe, KeyGroup::kNone, 0},
+               {20'000, 30'000, 1, 0, Repeat::kKeyed, KeyGroup::kAll, 60'000},
+               {20'000, 30'000, 1, 0, Repeat::kKeyed, KeyGroup::kZone, 60'000},
+               {20'000, 30'000, 1, 0, Repeat::kUnsafe, KeyGroup::kNone, 0}};
+  PlanSettings team;
+  team.quota_rate = team.burst = 1e6;
+  PlanSettings tiny;
+  tiny.quota_rate = tiny.burst = tiny.ceiling_rate = tiny.ceiling_burst = 4;
+  s.plans = {team, tiny};
+  s.gateways = 2;
+  s.largest_units = 4;
+  s.retry_after = true;
+  s.max_retry_after_ms = 1000;
+  s.max_attempts = 4;
+  s.may_cancel = true;
+  s.tick_ms = 4;
+  s.cold_from = 0.2;
+  s.warm_after_ms = 10'000;
+  s.overload_factor = 2;
+  s.fall_ms = 1000;
+  return n;
+}
+
+struct NoHosts : engine::HostSide {
+  engine::StartResult start(Ms, engine::AttemptId, HostId, const engine::Payload&, Ms) override {
+    return engine::StartResult::kNoHost;
+  }
+  bool abandon(Ms, engine::AttemptId) override { return true; }
+  bool withdraw(Ms, engine::AttemptId) override { return false; }
+  void retire(Ms, HostId) override {}
+};
+
+class Bench {
+ public:
+  explicit Bench(Settings settings = {}, int hosts = 2, engine::Limits limits = {})
+      : engine(module, none, limits, [](std::string_view, std::string_view) {}),
+        processor(engine, names(), std::move(settings), 77) {
+    engine.add_hosts(processor);
+    engine.start(now);
+    for (int h = 1; h <= hosts; ++h) ready(static_cast<HostId>(h));
+  }
+  static std::string endpoint(HostId h) { return "127.0.0.1:" + std::to_string(9000 + h); }
+  void ready(HostId h, std::uint32_t zone = 0) {
+    processor.add(h, endpoint(h));
+    tell({.id = h, .state = HostState::kReady, .zone = zone});
+  }
+  void drain(HostId h) { tell({.id = h, .state = HostState::kDraining}); }
+  void tell(const HostEntry& e) { engine.on_list(now, ListKind::kChanges, {&e, 1}); }
+
+  struct OpenCall {
+    FakeCall call;
+    std::unique_ptr<http2::grpc::CallEvents> events;
+  };
+  OpenCall& open(bool held = false) {
+    calls.push_back(std::make_unique<OpenCall>());
+    auto& c = *calls.back();
+    c.call.held = held;
+    c.events = processor.open(now, c.call, {});
+    return c;
+  }
+  OpenCall& ask(const HeaderList& more = {}, const std::string& cls = "lookup", const std::string& id = "",
+                bool held = false) {
+    auto& c = open(held);
+    c.events->on_message(now, request_headers(headers(more, cls, id)));
+    return c;
+  }
+  static HeaderList headers(const HeaderList& more, const std::string& cls, const std::string& id) {
+    HeaderList all{{":method", "GET"},
+                   {":path", "/x"},
+                   {"x-cometfold-class", cls},
+                   {"x-cometfold-plan", "team"},
+                   {"x-cometfold-customer", "c1"}};
+    if (!id.empty()) all.emplace_back("x-request-id", id);
+    if (cls == "hold" || cls == "zoned") all.emplace_back("idempotency-key", "k");
+    for (const auto& [name, value] : more) {
+      const auto same = std::find_if(all.begin(), all.end(), [&](auto& h) { return h.first == name; });
+      if (same != all.end()) all.erase(same);
+      if (!value.empty()) all.emplace_back(name, value);
+    }
+    return all;
+  }
+  void report(OpenCall& c, int status, const std::string& details = "", const HeaderList& more = {}) {
+    HeaderList all{{":status", std::to_string(status)}};
+    all.insert(all.end(), more.begin(), more.end());
+    c.events->on_message(
+        now, response_headers(
+                 all, details.empty() ? HeaderList{} : HeaderList{{"response.code_details", details}}));
+  }
+  void gone(OpenCall& c) {
+    c.events->on_gone(now);
+    c.events.reset();
+  }
+  void pass(Ms ms) {
+    const Ms until = now + ms;
+    for (;;) {
+      auto due = engine.next_due();
+      if (const auto fetch = processor.next_due(); fetch && (!due || *fetch < *due)) due = fetch;
+      if (!due || *due > until) break;
+      now = std::max(now, *due);
+      engine.run_due(now);
+      processor.run_due(now);
+    }
+    now = until;
+  }
+  // Whatever has happened: when all calls have gone and their time is over, nothing is left.
+  void expect_empty() {
+    for (auto& c : calls) {
+      if (c->events) gone(*c);
+    }
+    pass(60'000);
+    EXPECT_EQ(engine.held(), 0u);
+    EXPECT_EQ(engine.owed(), 0u);
+    EXPECT_EQ(engine.held_bytes(), 0u);
+    EXPECT_EQ(processor.open(), 0u);
+  }
+  const Totals& totals() const { return processor.totals(); }
+
+  Ms now = 1'000'000;
+  engine::ControlModule module{names().settings, 5};
+  NoHosts none;
+  engine::Engine engine;
+  Processor processor;
+  std::vector<std::unique_ptr<OpenCall>> calls;
+};
+
+}  // namespace thistlepond::extproc::testing
--- /dev/null
+++ b/tests/http2_support.h
@@ -0,0 +1,181 @@
+// An HTTP/2 connection in memory: a gRPC server and a client session, or frames made by hand, with the bytes
+// carried between them in pieces of any size.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "grpc_client.h"
+#include "grpc_server.h"
+
+namespace thistlepond::http2::testing {
+
+// One frame, as RFC 9113 section 4.1 has it.
+inline std::string frame(unsigned type, unsigned flags, std::uint32_t stream, std::string_view payload = {}) {
+  std::string out;
+  for (int shift = 16; shift >= 0; shift -= 8) out += static_cast<char>(payload.size() >> shift & 0xff);
+  out += static_cast<char>(type);
+  out += static_cast<char>(flags);
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(stream >> shift & 0xff);
+  return out + std::string(payload);
+}
+constexpr unsigned kDataFrame = 0, kHeadersFrame = 1, kResetFrame = 3, kSettingsFrame = 4, kPingFrame = 6,
+                   kWindowFrame = 8, kContinuationFrame = 9;
+constexpr unsigned kEndStream = 1, kEndHeaders = 4;
+inline const std::string kPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(kSettingsFrame, 0, 0);
+
+// A header without indexing and without Huffman coding (RFC 7541 section 6.2.2).
+inline std::string literal(std::string_view name, std::string_view value) {
+  const auto length = [](std::size_t n) {
+    std::string out;
+    if (n < 127) return std::string(1, static_cast<char>(n));
+    out += static_cast<char>(127);
+    for (n -= 127; n >= 128; n >>= 7) out += static_cast<char>((n & 127) | 128);
+    return out + static_cast<char>(n);
+  };
+  return std::string(1, '\0') + length(name.size()) + std::string(name) + length(value.size()) +
+         std::string(value);
+}
+inline std::string call_headers(std::string_view path = "/test.Echo/Echo") {
+  return literal(":method", "POST") + literal(":scheme", "http") + literal(":path", path) +
+         literal(":authority", "a") + literal("content-type", "application/grpc") + literal("te", "trailers");
+}
+inline std::string message(std::string_view text) {
+  std::string out;
+  grpc::append_prefix(out, text.size());
+  return out + std::string(text);
+}
+
+// A service that answers each message with itself, and keeps what it hears of its calls.
+class Echo : public grpc::Service {
+ public:
+  struct Seen {
+    std::vector<std::string> messages;
+    bool half_closed = false, gone = false;
+    grpc::Call* call = nullptr;
+  };
+  std::unique_ptr<grpc::CallEvents> open(Ms, grpc::Call& call, const Headers&) override {
+    calls.push_back(std::make_shared<Seen>());
+    calls.back()->call = &call;
+    return std::make_unique<One>(*this, calls.back());
+  }
+  std::vector<std::shared_ptr<Seen>> calls;
+  bool silent = false;  // keeps the answers to itself
+
+ private:
+  struct One : grpc::CallEvents {
+    One(Echo& o, std::shared_ptr<Seen> s) : owner(o), seen(std::move(s)) {}
+    void on_message(Ms, std::string_view m) override {
+      seen->messages.emplace_back(m);
+      if (!owner.silent) seen->call->send(m);
+    }
+    void on_half_closed(Ms) override {
+      seen->half_closed = true;
+      if (!owner.silent) seen->call->finish({});
+    }
+    void on_gone(Ms) override {
+      seen->gone = true;
+      seen->call = nullptr;
+    }
+    Echo& owner;
+    std::shared_ptr<Seen> seen;
+  };
+};
+
+class Server : public grpc::Methods, public SessionEvents {
+ public:
+  explicit Server(const grpc::ServerLimits& limits = {}, grpc::Service* service = nullptr)
+      : service_(service ? service : &echo),
+        connection(std::make_unique<grpc::Connection>(limits, *this, *this, 0)) {}
+  grpc::Service* find(std::string_view path) override {
+    return path == "/test.Echo/Echo" || path.starts_with("/envoy.") ? service_ : nullptr;
+  }
+  std::unique_ptr<StreamEvents> on_request(Ms, Stream&, const Headers&) override { return {}; }
+  void on_output() override {}
+  // Feeds bytes; false once the connection has ended.
+  bool feed(std::string_view bytes, Ms now = 0) {
+    return alive = connection->session().feed(now, bytes) && alive;
+  }
+  std::string taken() {
+    std::string out;
+    for (auto part = connection->session().output(); !part.empty(); part = connection->session().output()) {
+      out += part;
+      connection->session().consumed(part.size());
+    }
+    return out;
+  }
+
+  Echo echo;
+  bool alive = true;
+
+ private:
+  grpc::Service* service_;
+
+ public:
+  std::unique_ptr<grpc::Connection> connection;
+};
+
+// What a client heard of one call.
+struct Heard {
+  std::vector<std::string> messages;
+  std::optional<grpc::Status> status;
+  grpc::ClientCall* call = nullptr;
+};
+
+class Client : private SessionEvents {
+ public:
+  explicit Client(Limits limits = {}) : session(Role::kClient, limits, *this, 0) {}
+  std::shared_ptr<Heard> call(std::string_view path = "/test.Echo/Echo", const Headers& metadata = {}) {
+    auto heard = std::make_shared<Heard>();
+    heard->call = grpc::start_call(session, "a", path, metadata, std::make_unique<One>(heard));
+    return heard;
+  }
+  // Carries what is there to and fro until nothing is left, in pieces of at most `piece` bytes.
+  void carry(Server& server, Ms now = 0, std::size_t piece = 1 << 20) {
+    for (bool some = true; some;) {
+      some = false;
+      const auto there = taken();
+      for (std::size_t at = 0; at < there.size(); at += piece) {
+        server.feed(std::string_view(there).substr(at, piece), now);
+        some = true;
+      }
+      const auto here = server.taken();
+      for (std::size_t at = 0; at < here.size(); at += piece) {
+        session.feed(now, std::string_view(here).substr(at, piece));
+        some = true;
+      }
+    }
+  }
+  std::string taken() {
+    std::string out;
+    for (auto part = session.output(); !part.empty(); part = session.output()) {
+      out += part;
+      session.consumed(part.size());
+    }
+    return out;
+  }
+
+ private:
+  struct One : grpc::ClientCallEvents {
+    explicit One(std::shared_ptr<Heard> h) : heard(std::move(h)) {}
+    void on_message(Ms, std::string_view m) override { heard->messages.emplace_back(m); }
+    void on_status(Ms, const grpc::Status& status) override {
+      EXPECT_FALSE(heard->status) << "two ends of one call";
+      heard->status = status;
+      heard->call = nullptr;
+    }
+    std::shared_ptr<Heard> heard;
+  };
+  std::unique_ptr<StreamEvents> on_request(Ms, Stream&, const Headers&) override { return {}; }
+  void on_output() override {}
+
+ public:
+  Session session;
+};
+
+}  // namespace thistlepond::http2::testing
--- /dev/null
+++ b/tests/http2_test.cpp
@@ -0,0 +1,356 @@
+// HTTP/2 and gRPC as state machines: calls as they should be, wherever the bytes are cut, and peers that try
+// to make the server hold or do more than they pay for.
+#include <random>
+
+#include "http2_support.h"
+
+namespace thistlepond::http2::testing {
+namespace {
+
+using grpc::Code;
+
+TEST(Grpc, MessagesComeBackWhereverTheBytesAreCut) {
+  for (const std::size_t piece : {1, 2, 3, 7, 1000, 1 << 20}) {
+    Server server;
+    Client client;
+    const auto heard = client.call();
+    const std::string large(100'000, 'x');
+    heard->call->send("");
+    heard->call->send("one");
+    heard->call->send(large);
+    client.carry(server, 0, piece);
+    EXPECT_EQ(heard->messages, (std::vector<std::string>{"", "one", large})) << piece;
+    EXPECT_FALSE(heard->status);
+    heard->call->half_close();
+    client.carry(server, 0, piece);
+    ASSERT_TRUE(heard->status);
+    EXPECT_EQ(heard->status->code, Code::kOk);
+    EXPECT_TRUE(server.echo.calls.at(0)->gone);
+    EXPECT_EQ(server.connection->session().streams(), 0u);
+    EXPECT_EQ(server.connection->session().unsent(), 0u);
+    EXPECT_EQ(server.connection->unread(), 0u);
+  }
+}
+
+TEST(Grpc, ManyCallsShareAConnection) {
+  Server server;
+  Client client;
+  std::vector<std::shared_ptr<Heard>> all;
+  for (int i = 0; i < 1000; ++i) {
+    all.push_back(client.call());
+    all.back()->call->send(std::to_string(i));
+  }
+  client.carry(server);
+  for (int i = 0; i < 1000; ++i) EXPECT_EQ(all[i]->messages, std::vector{std::to_string(i)});
+  EXPECT_EQ(server.connection->session().streams(), 1000u);
+}
+
+TEST(Grpc, AnEndBeforeTheClientsOwnComesWholeAndFreesTheStream) {
+  Server server;
+  server.echo.silent = true;
+  Client client;
+  const auto heard = client.call();
+  heard->call->send("one");
+  client.carry(server);
+  server.echo.calls.at(0)->call->send(std::string(50'000, 'y'));
+  server.echo.calls.at(0)->call->finish({Code::kAborted, "100% \n done"});
+  client.carry(server);
+  ASSERT_EQ(heard->messages.size(), 1u);
+  EXPECT_EQ(heard->messages[0].size(), 50'000u);
+  ASSERT_TRUE(heard->status);
+  EXPECT_EQ(heard->status->code, Code::kAborted);
+  EXPECT_EQ(heard->status->message, "100% \n done");
+  EXPECT_EQ(server.connection->session().streams(), 0u);
+}
+
+TEST(Grpc, WhatIsNoCallIsAnsweredAsPublished) {
+  Server server;
+  Client client;
+  const auto unknown = client.call("/test.Echo/Nothing");
+  client.carry(server);
+  ASSERT_TRUE(unknown->status);
+  EXPECT_EQ(unknown->status->code, Code::kUnimplemented);
+  EXPECT_EQ(unknown->status->message, "no method /test.Echo/Nothing");
+
+  Server plain;
+  plain.feed(kPreface +
+             frame(kHeadersFrame, kEndHeaders | kEndStream, 1,
+                   literal(":method", "POST") + literal(":scheme", "http") + literal(":path", "/x") +
+                       literal(":authority", "a") + literal("content-type", "application/json")));
+  EXPECT_NE(plain.taken().find("application/grpc\n"),
+            std::string::npos);  // the page that says so, behind 415
+  plain.feed(frame(kHeadersFrame, kEndHeaders | kEndStream, 3,
+                   literal(":method", "GET") + literal(":scheme", "http") + literal(":path", "/x") +
+                       literal(":authority", "a")));
+  EXPECT_NE(plain.taken().find("POST"), std::string::npos);
+  EXPECT_TRUE(plain.alive);
+  EXPECT_EQ(plain.connection->session().streams(), 0u);
+}
+
+TEST(Grpc, BadMessagesEndTheirCallAloneWithAStatus) {
+  const auto status_of = [](const std::string& bytes, bool end) {
+    grpc::ServerLimits limits;
+    limits.message_bytes = 1000;
+    Server server(limits);
+    Client client;
+    const auto beside = client.call();
+    const auto heard = client.call();
+    client.carry(server);
+    // Past the client's own framing: a second client's bytes on its stream.
+    server.feed(frame(kDataFrame, end ? kEndStream : 0, 3, bytes));
+    client.carry(server);
+    beside->call->send("still");
+    client.carry(server);
+    EXPECT_EQ(beside->messages, std::vector<std::string>{"still"});
+    return heard->status ? heard->status->code : Code::kOk;
+  };
+  EXPECT_EQ(status_of(message("good"), false), Code::kOk);
+  EXPECT_EQ(status_of(std::string("\1\0\0\0\1x", 6), false), Code::kUnimplemented);     // compressed
+  EXPECT_EQ(status_of(std::string("\0\0\0\7\0", 5), false), Code::kResourceExhausted);  // too large
+  EXPECT_EQ(status_of(std::string("\0\xff\xff\xff\xff", 5), false), Code::kResourceExhausted);
+  EXPECT_EQ(status_of(std::string("\0\0\0", 3), true), Code::kInternal);        // ends inside the prefix
+  EXPECT_EQ(status_of(std::string("\0\0\0\0\5ab", 7), true), Code::kInternal);  // ... inside the message
+}
+
+TEST(Grpc, HalfReadMessagesAreBoundedOverTheConnection) {
+  grpc::ServerLimits limits;
+  limits.unread_bytes = 10'000;
+  Server server(limits);
+  server.feed(kPreface);
+  std::string part;
+  grpc::append_prefix(part, 5000);
+  part += std::string(2995, 'x');
+  for (std::uint32_t id = 1; id <= 19; id += 2) {
+    server.feed(frame(kHeadersFrame, kEndHeaders, id, call_headers()) + frame(kDataFrame, 0, id, part));
+    server.taken();
+    EXPECT_LE(server.connection->unread(), 13'000u);
+  }
+  EXPECT_TRUE(server.alive);
+  EXPECT_EQ(server.connection->session().streams(), 3u);  // the others were ended
+}
+
+TEST(Grpc, ACallThatSaysNothingIsEnded) {
+  Server server;
+  Client client;
+  const auto silent = client.call(), speaking = client.call();
+  speaking->call->send("x");
+  client.carry(server);
+  server.connection->sweep(9'000);
+  client.carry(server);
+  EXPECT_FALSE(silent->status);
+  server.connection->sweep(10'001);
+  client.carry(server);
+  ASSERT_TRUE(silent->status);
+  EXPECT_EQ(silent->status->code, Code::kDeadlineExceeded);
+  EXPECT_FALSE(speaking->status);
+}
+
+TEST(Grpc, AMessageIsTakenBackOnlyWhileNoneOfItHasLeft) {
+  Server server;
+  server.echo.silent = true;
+  Client client;
+  const auto heard = client.call();
+  heard->call->send("one");
+  client.carry(server);
+  auto* call = server.echo.calls.at(0)->call;
+  call->send("wrong");
+  EXPECT_TRUE(call->take_back());
+  EXPECT_FALSE(call->take_back());
+  call->send("right");
+  client.carry(server);
+  EXPECT_EQ(heard->messages, std::vector<std::string>{"right"});
+  EXPECT_FALSE(call->take_back());
+}
+
+TEST(Grpc, Timeouts) {
+  EXPECT_EQ(grpc::parse_timeout("100m"), 100);
+  EXPECT_EQ(grpc::parse_timeout("2S"), 2000);
+  EXPECT_EQ(grpc::parse_timeout("99999999H"), 99999999.0 * 3'600'000);
+  EXPECT_EQ(grpc::parse_timeout("5000u"), 5);
+  for (const char* bad : {"", "m", "100", "1.5S", "-1S", "123456789m", "1 S", "1x"}) {
+    EXPECT_FALSE(grpc::parse_timeout(bad)) << bad;
+  }
+}
+
+// ---- peers that attack ----
+
+ErrorCode ended_for(Server& server, const std::string& flood, std::size_t times,
+                    const std::string& opening = kPreface) {
+  server.feed(opening);
+  for (std::size_t i = 0; i < times && server.alive; ++i) {
+    server.feed(flood);
+    server.taken();
+  }
+  return server.connection->session().ended_for();
+}
+
+TEST(Attack, FloodsOfCheapFramesEndTheConnection) {
+  const std::pair<const char*, std::string> floods[] = {
+      {"PING", frame(kPingFrame, 0, 0, "12345678")},
+      {"SETTINGS", frame(kSettingsFrame, 0, 0)},
+      {"WINDOW_UPDATE", frame(kWindowFrame, 0, 0, std::string("\0\0\0\1", 4))},
+  };
+  for (const auto& [name, flood] : floods) {
+    Server server;
+    EXPECT_EQ(ended_for(server, flood, 1900), 0u) << name;  // what is at once is allowed
+    Server flooded;
+    EXPECT_EQ(ended_for(flooded, flood, 2100), NGHTTP2_ENHANCE_YOUR_CALM) << name;
+    EXPECT_FALSE(flooded.alive);
+  }
+  Server empty;
+  EXPECT_EQ(ended_for(empty, frame(kDataFrame, 0, 1), 2100,
+                      kPreface + frame(kHeadersFrame, kEndHeaders, 1, call_headers())),
+            NGHTTP2_ENHANCE_YOUR_CALM);
+}
+
+TEST(Attack, RapidResetsEndTheConnectionButResetsAfterWorkDoNot) {
+  Server attacked;
+  attacked.feed(kPreface);
+  std::uint32_t id = 1;
+  for (; id < 10'000 && attacked.alive; id += 2) {
+    attacked.feed(frame(kHeadersFrame, kEndHeaders, id, call_headers()) +
+                  frame(kResetFrame, 0, id, std::string("\0\0\0\10", 4)));
+    attacked.taken();
+  }
+  EXPECT_EQ(attacked.connection->session().ended_for(), NGHTTP2_ENHANCE_YOUR_CALM);
+  EXPECT_NEAR(id / 2, 2000, 5);
+  EXPECT_LE(attacked.connection->session().streams(), 1u);
+
+  Server busy;
+  busy.feed(kPreface);
+  for (id = 1; id < 20'000; id += 2) {
+    busy.feed(frame(kHeadersFrame, kEndHeaders, id, call_headers()) +
+              frame(kDataFrame, 0, id, message("work")) +
+              frame(kResetFrame, 0, id, std::string("\0\0\0\10", 4)));
+    busy.taken();
+  }
+  EXPECT_TRUE(busy.alive);
+}
+
+TEST(Attack, AFloodOfContinuationsEndsTheConnection) {
+  Server server;
+  server.feed(kPreface + frame(kHeadersFrame, 0, 1, call_headers()));
+  std::size_t sent = 0;
+  for (; sent < 100 && server.alive; ++sent) {
+    server.feed(frame(kContinuationFrame, 0, 1, literal("x-" + std::to_string(sent), "v")));
+  }
+  EXPECT_FALSE(server.alive);
+  EXPECT_LE(sent, 10u);
+}
+
+TEST(Attack, AHeaderBombIsNotUnfolded) {
+  // One header of 4,000 bytes goes into the table; each further byte refers to it.
+  std::string first = call_headers();
+  first += std::string(1, '\x40');  // with incremental indexing, new name
+  first += std::string("\1b", 2);
+  first += std::string("\x7f", 1) + std::string(1, static_cast<char>(((4000 - 127) & 127) | 128)) +
+           std::string(1, static_cast<char>((4000 - 127) >> 7)) + std::string(4000, 'v');
+  Server server;
+  server.feed(kPreface + frame(kHeadersFrame, kEndHeaders, 1, first));
+  server.taken();
+  EXPECT_TRUE(server.alive);
+  EXPECT_EQ(server.echo.calls.size(), 1u);
+  const std::string bomb = call_headers() + std::string(15'000, '\xbe');  // index 62: the newest entry
+  server.feed(frame(kHeadersFrame, kEndHeaders, 3, bomb));                // 60 MB if it were kept
+  EXPECT_EQ(server.connection->session().ended_for(), NGHTTP2_ENHANCE_YOUR_CALM);
+  EXPECT_EQ(server.echo.calls.size(), 1u);
+}
+
+TEST(Attack, LargeHeadersAreRefusedAndTheConnectionGoesOn) {
+  Server server;
+  const std::string large = call_headers() + literal("x-large", std::string(14'000, 'v')) +
+                            literal("x-larger", std::string(14'000, 'v'));
+  server.feed(kPreface + frame(kHeadersFrame, 0, 1, large.substr(0, 16'000)) +
+              frame(kContinuationFrame, kEndHeaders, 1, large.substr(16'000)));
+  EXPECT_TRUE(server.alive);
+  EXPECT_EQ(server.echo.calls.size(), 0u);
+  server.taken();
+  EXPECT_EQ(server.connection->session().streams(), 0u);
+  server.feed(frame(kHeadersFrame, kEndHeaders, 3, call_headers()) + frame(kDataFrame, 0, 3, message("x")));
+  EXPECT_EQ(server.echo.calls.at(0)->messages, std::vector<std::string>{"x"});
+}
+
+TEST(Attack, StreamsAreBoundedWhateverTheClientOpens) {
+  grpc::ServerLimits limits;
+  limits.http2.streams = 100;
+  Server server(limits);
+  server.feed(kPreface);
+  server.feed(frame(kSettingsFrame, 1, 0));  // it has seen our limit
+  server.taken();
+  for (std::uint32_t id = 1; id < 2000; id += 2) {
+    server.feed(frame(kHeadersFrame, kEndHeaders, id, call_headers()));
+    server.taken();
+    EXPECT_LE(server.connection->session().streams(), 100u);
+  }
+  EXPECT_EQ(server.echo.calls.size(), 100u);
+}
+
+TEST(Attack, AClientThatDoesNotReadIsNotReadFrom) {
+  grpc::ServerLimits limits;
+  limits.http2.unsent = 100'000;
+  Server server(limits);
+  server.feed(kPreface + frame(kHeadersFrame, kEndHeaders, 1, call_headers()));
+  const std::string large(10'000, 'x');
+  std::size_t fed = 0;
+  while (server.connection->session().wants_input() && fed < 1000) {
+    server.feed(frame(kDataFrame, 0, 1, message(large)));
+    ++fed;
+  }
+  EXPECT_LE(fed, 12u);
+  EXPECT_FALSE(server.connection->session().wants_input());
+  EXPECT_LE(server.connection->session().unsent(), 200'000u);
+}
+
+TEST(Attack, AnyBytesEndInAClearWayAndNothingIsLeft) {
+  std::mt19937 random(7);
+  Client sample;
+  const auto heard = sample.call();
+  heard->call->send("something to be spoilt");
+  const std::string good = sample.taken();
+  for (int round = 0; round < 3000; ++round) {
+    Server server;
+    std::string bytes = good;
+    const int spoilt = static_cast<int>(random() % 6);
+    for (int i = 0; i < spoilt; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
+    if (random() % 4 == 0) bytes.resize(1 + random() % (bytes.size() - 1));
+    if (random() % 4 == 0) bytes += bytes.substr(random() % bytes.size());
+    for (std::size_t at = 0; at < bytes.size();) {
+      const std::size_t n = 1 + random() % 40;
+      server.feed(std::string_view(bytes).substr(at, n));
+      server.taken();
+      at += n;
+    }
+    auto calls = server.echo.calls;
+    server.connection.reset();
+    for (const auto& c : calls) EXPECT_TRUE(c->gone);
+  }
+}
+
+TEST(Drain, NewCallsAreTakenUntilTheSecondWordAndOpenOnesEnd) {
+  Server server;
+  Client client;
+  const auto before = client.call();
+  before->call->send("a");
+  client.carry(server);
+  server.connection->session().announce_drain();
+  const auto on_its_way = client.call();  // sent before the client knows
+  on_its_way->call->send("b");
+  server.feed(client.taken());
+  client.carry(server);
+  EXPECT_EQ(on_its_way->messages, std::vector<std::string>{"b"});
+  server.connection->session().drain();
+  EXPECT_FALSE(server.connection->session().done());
+  client.carry(server);
+  EXPECT_EQ(client.call()->call, nullptr);
+  before->call->send("c");
+  before->call->half_close();
+  on_its_way->call->half_close();
+  client.carry(server);
+  EXPECT_EQ(before->messages, (std::vector<std::string>{"a", "c"}));
+  EXPECT_EQ(before->status.value().code, Code::kOk);
+  EXPECT_EQ(on_its_way->status.value().code, Code::kOk);
+  EXPECT_TRUE(server.connection->session().done());
+}
+
+}  // namespace
+}  // namespace thistlepond::http2::testing
--- a/tests/own_settings_test.cpp
+++ b/tests/own_settings_test.cpp
@@ -61,12 +61,83 @@
             ":2: hosts.per_host must be a whole number from 1 to 65536");
   EXPECT_EQ(complaint("[hosts]\nrest = 5\n"),
             ":2: [hosts] has no 'rest'; it has descriptors_share, idle_per_host, per_host, rest_ms");
-  EXPECT_EQ(complaint("\n[host]\n"), ":2: no table 'host'; there are hosts");
+  EXPECT_EQ(complaint("\n[host]\n"), ":2: no table 'host'; there are extproc, hosts");
   EXPECT_EQ(complaint("hosts = 3\n"), ":1: 'hosts' must be a table: [hosts]");
   EXPECT_TRUE(complaint("[hosts\n").starts_with(":1: not TOML: "));
   EXPECT_TRUE(complaint("[hosts]\nrest_ms = 5\nrest_ms = 6\n").starts_with(":3: not TOML: "));
 }
 
+TEST(OwnSettings, TheExternalProcessorIsOffUnlessItHasAnAddress) {
+  EXPECT_FALSE(read_own_settings(COMETFOLD_OWN_SETTINGS).processor_at);
+  const File file(R"(
+[extproc]
+listen = "[::1]:9002"
+destination = ["metadata"]
+repeats = "marked"
+not_run = [503]
+streams = 50
+[extproc.request]
+class_header = ""
+deadline_headers = ["grpc-timeout"]
+default_class = "lookup"
+[[extproc.rule]]
+method = "POST"
+path = "/pay*"
+class = "pay"
+[[extproc.rule]]
+units = 0.5
+[extproc.load]
+queue = ["named_metrics.waiting", "utilization.queue"]
+)");
+  const auto s = read_own_settings(file.path);
+  ASSERT_TRUE(s.processor_at);
+  EXPECT_EQ(s.processor_at->port(), 9002);
+  EXPECT_TRUE(s.processor_at->address().is_v6());
+  EXPECT_FALSE(s.processor.destination.header);
+  EXPECT_TRUE(s.processor.destination.metadata);
+  EXPECT_EQ(s.processor.repeats, extproc::Repeats::kMarked);
+  EXPECT_EQ(s.processor.not_run, std::vector{503});
+  EXPECT_EQ(s.grpc.calls.http2.streams, 50u);
+  EXPECT_EQ(s.processor.mapping.class_header, "");
+  EXPECT_EQ(s.processor.mapping.default_class, "lookup");
+  ASSERT_EQ(s.processor.mapping.rules.size(), 2u);
+  EXPECT_EQ(s.processor.mapping.rules[0].path, "/pay*");
+  EXPECT_TRUE(s.processor.mapping.rules[0].at.ends_with(":12"));
+  EXPECT_EQ(s.processor.mapping.rules[1].units, 0.5);
+  EXPECT_EQ(s.processor.load.queue.size(), 2u);
+}
+
+TEST(OwnSettings, BadOnesOfTheExternalProcessorAreNamedToo) {
+  const auto said = [](const std::string& line) { return complaint("[extproc]\n" + line + "\n"); };
+  EXPECT_EQ(said("listen = \"localhost:9\""),
+            ":2: extproc.listen must be an IP address and a port, such as \"127.0.0.1:9002\"");
+  for (const char* bad : {"9002", "\"127.0.0.1\"", "\"127.0.0.1:\"", "\"127.0.0.1:99999\"", "\":9\""}) {
+    EXPECT_TRUE(said(std::string("listen = ") + bad).starts_with(":2: extproc.listen must be")) << bad;
+  }
+  EXPECT_EQ(
+      said("repeats = \"always\""),
+      ":2: extproc.repeats must be \"never\" (the proxy calls once for a request) or \"marked\" (it calls "
+      "for each try, with an attempt count)");
+  EXPECT_EQ(said("destination = []"),
+            ":2: extproc.destination must be a list of at least one of \"header\", \"metadata\" and "
+            "\"original-dst\"");
+  EXPECT_EQ(said("not_run = [200]"), ":2: extproc.not_run must be a list of statuses from 400 to 599");
+  EXPECT_EQ(said("mode_override = 1"), ":2: extproc.mode_override must be true or false");
+  EXPECT_EQ(
+      said("[extproc.request]\nclass_header = \"X-Class\""),
+      ":3: extproc.request.class_header must be a header's name in lower case of at most 63 letters, digits "
+      "and hyphens, or empty for none");
+  EXPECT_EQ(
+      said("[[extproc.rule]]\npath = \"shop\""),
+      ":3: [extproc.rule].path must be a path that begins with / and has no query; a * may stand at its end");
+  EXPECT_TRUE(
+      said("[[extproc.rule]]\npaht = \"/shop\"").starts_with(":3: [[extproc.rule]] has no 'paht'; it has "));
+  EXPECT_EQ(said("rule = 3"), ":2: extproc.rule must be at most 1000 tables: [[extproc.rule]]");
+  EXPECT_EQ(said("[extproc.load]\nbusy = \"cpu\""),
+            ":3: extproc.load.busy must be a list of figures' names, such as [\"named_metrics.queue\", "
+            "\"cpu_utilization\"]");
+}
+
 // Runs the program with arguments; its exit code, and what it said on standard error.
 int run(std::vector<std::string> arguments) {
   arguments.insert(arguments.begin(), COMETFOLD_PROGRAM);
@@ -85,6 +156,11 @@
   EXPECT_EQ(run({"--check-config", "/nowhere"}), 1);
   EXPECT_EQ(run({"--check-config", good.path, "--settings", own.path}), 1);
   EXPECT_GT(run({"--no-such-flag"}), 0);
+  EXPECT_EQ(run({"--outcomes"}), 0);
+  const File classes("[extproc]\nlisten = \"127.0.0.1:0\"\n[[extproc.rule]]\nclass = \"nope\"\n");
+  Child unknown({COMETFOLD_PROGRAM, "--check-config", good.path, "--settings", classes.path}, {});
+  EXPECT_NE(unknown.log_until("nope").find(":3: no class 'nope'; there are lookup, hold, pay"),
+            std::string::npos);
   Child told({COMETFOLD_PROGRAM, "--check-config", bad.path}, {});
   EXPECT_NE(told.log_until("configuration").find("'listen' is missing"), std::string::npos);
 }
