--- /dev/null
+++ b/bench/extproc_bench.cpp
@@ -0,0 +1,395 @@
+// The external processor under load, side by side in one run with (b) a bare nghttp2 echo and (c) a grpc++
+// echo, each on one core, driven by the same client on the others: decisions a second at saturation, latency
+// from the intended start at a third of it, CPU a decision, bytes of an open stream.
+//
+// A call is what a proxy makes of a request: request_headers, the decision, response_headers, the answer, the
+// end. The echoes answer each message with itself.
+#include <poll.h>
+#include <sched.h>
+#include <time.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "external_processor.pb.h"
+#include "h2_peer.h"
+#include "program.h"
+#include "words.h"
+
+namespace {
+
+using namespace thistlepond;
+using namespace thistlepond::stand_ins;
+namespace pb = envoy::service::ext_proc::v3;
+using Steady = std::chrono::steady_clock;
+
+constexpr const char* kPath = "/envoy.service.ext_proc.v3.ExternalProcessor/Process";
+
+double seconds_since(Steady::time_point then) {
+  return std::chrono::duration<double>(Steady::now() - then).count();
+}
+
+// What a proxy sends for a usual request.
+std::string request_message() {
+  pb::ProcessingRequest m;
+  const std::pair<const char*, const char*> headers[] = {
+      {":method", "GET"},
+      {":path", "/items/4711?view=full"},
+      {":scheme", "http"},
+      {":authority", "shop.example"},
+      {"user-agent", "Mozilla/5.0 (X11; Linux x86_64)"},
+      {"accept", "text/html,application/xhtml+xml"},
+      {"accept-encoding", "gzip, deflate, br"},
+      {"x-forwarded-for", "192.0.2.17"},
+      {"x-forwarded-proto", "http"},
+      {"x-cometfold-class", "lookup"},
+      {"x-cometfold-plan", "team"},
+      {"x-cometfold-customer", "0000000000000007"},
+      {"cookie", "session=0123456789abcdef0123456789abcdef"}};
+  for (const auto& [name, value] : headers) {
+    auto* h = m.mutable_request_headers()->mutable_headers()->add_headers();
+    h->set_key(name);
+    h->set_raw_value(value);
+  }
+  m.mutable_request_headers()->set_end_of_stream(true);
+  return m.SerializeAsString();
+}
+std::string response_message() {
+  pb::ProcessingRequest m;
+  const std::pair<const char*, const char*> headers[] = {
+      {":status", "200"},
+      {"content-type", "text/html"},
+      {"content-length", "5120"},
+      {"endpoint-load-metrics", "TEXT cpu_utilization=0.4"}};
+  for (const auto& [name, value] : headers) {
+    auto* h = m.mutable_response_headers()->mutable_headers()->add_headers();
+    h->set_key(name);
+    h->set_raw_value(value);
+  }
+  return m.SerializeAsString();
+}
+
+void pin(int first, int last) {
+  cpu_set_t set;
+  CPU_ZERO(&set);
+  for (int i = first; i <= last; ++i) CPU_SET(i, &set);
+  ::sched_setaffinity(0, sizeof set, &set);
+}
+
+struct Result {
+  std::uint64_t done = 0, named = 0, answered = 0, broken = 0;
+  std::vector<float> latency_ms;
+};
+
+// One thread of the client: some connections, each with its part of the calls.
+class Driver {
+ public:
+  Driver(int port, int connections, std::uint64_t seed)
+      : random_(seed), request_(request_message()), response_(response_message()) {
+    for (int i = 0; i < connections; ++i) peers_.push_back(std::make_unique<H2Peer>(port));
+  }
+
+  // Keeps `in_flight` calls open for `seconds`.
+  Result saturate(std::size_t in_flight, double seconds) {
+    result_ = {};
+    const auto begin = Steady::now();
+    stop_at_ = begin + to_duration(seconds);
+    again_ = true;
+    for (std::size_t i = 0; i < in_flight; ++i) start(Steady::now());
+    while (Steady::now() < stop_at_) turn(1);
+    again_ = false;
+    const auto counted = result_;
+    finish();
+    return counted;
+  }
+  // Calls at `rate` a second, whatever comes back.
+  Result open_loop(double rate, double seconds) {
+    result_ = {};
+    again_ = false;
+    std::exponential_distribution<double> gap(rate);
+    const auto begin = Steady::now();
+    double next = gap(random_);
+    while (next < seconds) {
+      const double now = seconds_since(begin);
+      while (next <= now && next < seconds) {
+        start(begin + to_duration(next));
+        next += gap(random_);
+      }
+      turn(0);
+    }
+    finish();
+    return result_;
+  }
+  // Opens `calls` calls and leaves them open after their decision.
+  void hold(std::size_t calls) {
+    hold_ = true;
+    for (std::size_t i = 0; i < calls; ++i) {
+      start(Steady::now());
+      if (i % 50 == 0) turn(0);
+    }
+    while (decided_ < calls) turn(10);
+  }
+
+ private:
+  struct Call : http2::grpc::ClientCallEvents {
+    Call(Driver& d, Steady::time_point at) : owner(d), intended(at) {}
+    void on_message(Ms, std::string_view message) override {
+      if (++heard > 1) return call->half_close();
+      ++owner.decided_;
+      owner.result_.latency_ms.push_back(static_cast<float>(seconds_since(intended) * 1000));
+      // An immediate response ends the call; its first field is number 7, the routed one's number 1.
+      if (!message.empty() && message[0] == 0x3a) {
+        ++owner.result_.answered;
+        return;
+      }
+      ++owner.result_.named;
+      if (!owner.hold_) call->send(owner.response_);
+    }
+    void on_status(Ms, const http2::grpc::Status& status) override {
+      --owner.live_;
+      if (status.code == http2::grpc::Code::kOk) {
+        ++owner.result_.done;
+      } else {
+        ++owner.result_.broken;
+      }
+      if (owner.again_) ++owner.owed_;
+    }
+    Driver& owner;
+    Steady::time_point intended;
+    http2::grpc::ClientCall* call = nullptr;
+    int heard = 0;
+  };
+
+  static Steady::duration to_duration(double seconds) {
+    return std::chrono::duration_cast<Steady::duration>(std::chrono::duration<double>(seconds));
+  }
+  void start(Steady::time_point intended) {
+    auto events = std::make_unique<Call>(*this, intended);
+    Call* call = events.get();
+    H2Peer& peer = *peers_[next_++ % peers_.size()];
+    call->call = peer.call(kPath, std::move(events));
+    if (!call->call) throw Hung("no stream to be had");
+    call->call->send(request_);
+    ++live_;
+  }
+  void turn(int wait_ms) {
+    std::vector<pollfd> fds;
+    for (auto& p : peers_) {
+      p->flush();
+      fds.push_back({p->fd(), static_cast<short>(POLLIN | (p->blocked() ? POLLOUT : 0)), 0});
+    }
+    if (::poll(fds.data(), fds.size(), wait_ms) > 0) {
+      for (std::size_t i = 0; i < fds.size(); ++i) {
+        if ((fds[i].revents & POLLIN) && !peers_[i]->take()) throw Hung("a connection ended");
+      }
+    }
+    for (; owed_ > 0; --owed_) start(Steady::now());
+  }
+  void finish() {
+    const auto begin = Steady::now();
+    while (live_ > 0 && seconds_since(begin) < 10) turn(10);
+  }
+
+  std::mt19937_64 random_;
+  std::string request_, response_;
+  std::vector<std::unique_ptr<H2Peer>> peers_;
+  Result result_;
+  Steady::time_point stop_at_;
+  std::size_t next_ = 0, live_ = 0, owed_ = 0, decided_ = 0;
+  bool again_ = false, hold_ = false;
+};
+
+// A server in a process of its own, on the first core.
+class Target {
+ public:
+  explicit Target(const std::vector<std::string>& command, const std::vector<std::string>& environment,
+                  const std::string& ready) {
+    pin(0, 0);
+    child_ = std::make_unique<Child>(command, environment);
+    pin(1, static_cast<int>(std::thread::hardware_concurrency()) - 1);
+    port_ = child_->port_after(ready);
+  }
+  int port() const { return port_; }
+  double cpu_seconds() const {
+    clockid_t clock{};
+    timespec t{};
+    ::clock_getcpuclockid(child_->pid(), &clock);
+    ::clock_gettime(clock, &t);
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) / 1e9;
+  }
+  double resident_kb() const {
+    std::ifstream status("/proc/" + std::to_string(child_->pid()) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmRSS:")) return std::stod(line.substr(6));
+    }
+    return 0;
+  }
+
+ private:
+  std::unique_ptr<Child> child_;
+  int port_ = 0;
+};
+
+double quantile(std::vector<float>& sorted, double q) {
+  if (sorted.empty()) return 0;
+  return sorted[std::min(sorted.size() - 1,
+                         static_cast<std::size_t>(q * static_cast<double>(sorted.size())))];
+}
+
+struct Figures {
+  double saturated = 0, cpu_us = 0, p50 = 0, p99 = 0, p999 = 0, bytes_a_stream = 0, resident_kb = 0,
+         open_mb = 0;
+  double rate = 0;
+  Result at_third;
+};
+
+struct Options {
+  std::string program = "build/cometfold";
+  double seconds = 5;
+  int threads = 0;
+  int connections = 4;
+  std::size_t in_flight = 64, streams = 10'000;
+};
+
+Result all_threads(const Options& o, int port, const std::function<Result(Driver&, int)>& play) {
+  std::vector<Result> results(static_cast<std::size_t>(o.threads));
+  std::vector<std::thread> threads;
+  for (int t = 0; t < o.threads; ++t) {
+    threads.emplace_back([&, t] {
+      Driver driver(port, o.connections, 77 + static_cast<std::uint64_t>(t));
+      results[static_cast<std::size_t>(t)] = play(driver, t);
+    });
+  }
+  for (auto& t : threads) t.join();
+  Result sum;
+  for (auto& r : results) {
+    sum.done += r.done;
+    sum.named += r.named;
+    sum.answered += r.answered;
+    sum.broken += r.broken;
+    sum.latency_ms.insert(sum.latency_ms.end(), r.latency_ms.begin(), r.latency_ms.end());
+  }
+  std::sort(sum.latency_ms.begin(), sum.latency_ms.end());
+  return sum;
+}
+
+Figures measure(const Options& o, Target& target) {
+  Figures f;
+  all_threads(o, target.port(), [&](Driver& d, int) { return d.saturate(o.in_flight, 1); });  // warm
+  const double cpu = target.cpu_seconds();
+  const auto full =
+      all_threads(o, target.port(), [&](Driver& d, int) { return d.saturate(o.in_flight, o.seconds); });
+  f.saturated = static_cast<double>(full.done) / o.seconds;
+  f.cpu_us = (target.cpu_seconds() - cpu) / static_cast<double>(full.done) * 1e6;
+  f.rate = f.saturated / 3;
+  f.at_third = all_threads(o, target.port(),
+                           [&](Driver& d, int) { return d.open_loop(f.rate / o.threads, o.seconds); });
+  f.p50 = quantile(f.at_third.latency_ms, 0.5);
+  f.p99 = quantile(f.at_third.latency_ms, 0.99);
+  f.p999 = quantile(f.at_third.latency_ms, 0.999);
+  return f;
+}
+
+// On a fresh process: what was used before is not given back.
+void measure_memory(const Options& o, Target& target, Figures& f) {
+  {
+    Driver warm(target.port(), o.connections, 5);
+    warm.saturate(16, 0.2);
+  }
+  f.resident_kb = target.resident_kb();
+  Driver driver(target.port(), o.connections, 6);
+  driver.hold(o.streams);
+  const double with = target.resident_kb();
+  f.open_mb = with / 1024;
+  f.bytes_a_stream = (with - f.resident_kb) * 1024 / static_cast<double>(o.streams);
+}
+
+boost::json::object gateway_config() {
+  std::vector<std::string> hosts;
+  for (int i = 0; i < 8; ++i) hosts.push_back(target("s-" + std::to_string(i), 9100 + i));
+  auto json = config(list(7, true, hosts), 9);
+  json["limits"].as_object()["sockets"] = 1024;
+  json["settings"].as_object()["packages"].as_array()[0].as_object()["quota_rate"] = 1e9;
+  json["settings"].as_object()["packages"].as_array()[0].as_object()["burst"] = 1e9;
+  json["settings"].as_object()["ceilings"].as_object()["max_open"] = 20'000;
+  return json;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options o;
+  o.threads = std::max(1, static_cast<int>(std::thread::hardware_concurrency()) - 1);
+  std::string http2_echo = "build/http2_echo", grpc_echo = "build/grpc_echo", only;
+  CLI::App app{"The external processor beside a bare nghttp2 echo and a grpc++ echo"};
+  app.add_option("--program", o.program);
+  app.add_option("--http2-echo", http2_echo);
+  app.add_option("--grpc-echo", grpc_echo, "left out if it is not there");
+  app.add_option("--seconds", o.seconds);
+  app.add_option("--threads", o.threads, "of the client");
+  app.add_option("--connections", o.connections, "of each thread");
+  app.add_option("--in-flight", o.in_flight, "calls of each thread at saturation");
+  app.add_option("--streams", o.streams, "left open to measure memory");
+  app.add_option("--only", only, "processor, http2 or grpc");
+  CLI11_PARSE(app, argc, argv);
+
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("extproc-bench-" + std::to_string(::getpid()));
+  std::filesystem::create_directory(folder);
+  std::ofstream(folder / "config.json") << boost::json::serialize(gateway_config());
+  std::ofstream(folder / "own.toml") << "[extproc]\nlisten = \"127.0.0.1:0\"\n";
+  const auto processor = [&] {
+    return std::make_unique<Target>(
+        std::vector<std::string>{o.program, "--settings", (folder / "own.toml").string()},
+        std::vector<std::string>{"EDGE_NAME=n0", "EDGE_LISTEN=127.0.0.1:0", "EDGE_DISCOVERY=127.0.0.1:9",
+                                 "EDGE_CONFIG=" + (folder / "config.json").string()},
+        "external processor");
+  };
+  const auto echo = [&](const std::string& program) {
+    return std::make_unique<Target>(std::vector<std::string>{program}, std::vector<std::string>{}, "echo");
+  };
+  using Make = std::function<std::unique_ptr<Target>()>;
+  std::vector<std::pair<std::string, Make>> targets{{"processor", processor},
+                                                    {"http2", [&] { return echo(http2_echo); }}};
+  if (std::filesystem::exists(grpc_echo)) targets.emplace_back("grpc", [&] { return echo(grpc_echo); });
+  std::printf("%-10s %11s %9s %9s %8s %8s %9s %9s %10s %9s\n", "", "saturated/s", "us CPU", "offered/s",
+              "p50 ms", "p99 ms", "p99.9 ms", "resident", "B/stream", "open MB");
+  std::map<std::string, Figures> all;
+  for (const auto& [name, make] : targets) {
+    if (!only.empty() && only != name) continue;
+    Figures f;
+    {
+      const auto target = make();
+      f = measure(o, *target);
+    }
+    {
+      const auto target = make();
+      measure_memory(o, *target, f);
+    }
+    std::printf("%-10s %11.0f %9.1f %9.0f %8.2f %8.2f %9.2f %6.1f MB %10.0f %9.1f\n", name.c_str(),
+                f.saturated, f.cpu_us, f.rate, f.p50, f.p99, f.p999, f.resident_kb / 1024, f.bytes_a_stream,
+                f.open_mb);
+    if (name == "processor" && f.at_third.answered + f.at_third.broken > 0) {
+      std::printf("           of these %zu were refused or failed, %zu broke\n",
+                  static_cast<std::size_t>(f.at_third.answered), static_cast<std::size_t>(f.at_third.broken));
+    }
+    std::fflush(stdout);
+    all[name] = f;
+  }
+  if (all.contains("processor")) {
+    for (const auto& [name, f] : all) {
+      if (name != "processor") {
+        std::printf("processor / %-6s saturated %.2f   CPU %.2f   p99 %.2f\n", name.c_str(),
+                    all["processor"].saturated / f.saturated, all["processor"].cpu_us / f.cpu_us,
+                    all["processor"].p99 / f.p99);
+      }
+    }
+  }
+  std::filesystem::remove_all(folder);
+}
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -107,6 +107,7 @@
                   std::size_t size, void* user) {
     Session& s = of(user);
     Stream* stream = s.stream(id);
+    if (s.role_ == Role::kClient) s.earn();  // what a server sends is what was asked for
     // A server that has given its answer wants no more of the request.
     if (!stream || !stream->events_ || (s.role_ == Role::kServer && stream->finished_)) return 0;
     stream->events_->on_data(s.now_, text(bytes, size));
@@ -321,6 +322,7 @@
   stream->events_ = std::move(events);
   Stream* made = stream.get();
   streams_.emplace(id, std::move(stream));
+  earn();
   changed();
   return made;
 }
--- a/src/net/grpc_listener.cpp
+++ b/src/net/grpc_listener.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -23,8 +24,10 @@
 
 class GrpcListener::Connection : public resp::StreamEvents, private http2::SessionEvents {
  public:
-  Connection(GrpcListener& owner, std::uint64_t id, Ms now)
-      : owner_(owner), id_(id), heard_at_(now), calls_(owner.limits_.calls, owner.methods_, *this, now) {}
+  Connection(GrpcListener& owner, std::uint64_t id, Ms now) : owner_(owner), id_(id), heard_at_(now) {
+    http2::SessionEvents& self = *this;
+    calls_.emplace(owner.limits_.calls, owner.methods_, self, now);
+  }
 
   void start(std::unique_ptr<resp::Stream> stream) {
     stream_ = std::move(stream);
@@ -35,22 +38,22 @@
   void on_connected(Ms, bool) override {}
   void on_read(Ms now, std::size_t bytes, bool ended) override {
     reading_ = false;
-    if (!stream_) return;
+    if (closed_) return;
     if (bytes > 0) {
       heard_at_ = now;
       pinged_ = false;
       in_feed_ = true;
-      ending_ = !calls_.session().feed(now, {buffer_.data(), bytes}) || ending_;
+      ending_ = !calls_->session().feed(now, {buffer_.data(), bytes}) || ending_;
       in_feed_ = false;
       flush();
     }
-    if (ended && stream_) close();
-    if (stream_) read();
+    if (ended) close();
+    read();
     owner_.after_();
   }
   void on_writable(Ms, bool ok) override {
     blocked_ = false;
-    if (!stream_) return;
+    if (closed_) return;
     if (!ok) return close();
     flush();
     owner_.after_();
@@ -62,35 +65,37 @@
   }
 
   void sweep(Ms now) {
-    calls_.sweep(now);
+    calls_->sweep(now);
     const auto& limits = owner_.limits_;
     // Danger: a client that does not read would keep all that it has asked for here for ever.
     if (blocked_ && now - progress_at_ > limits.answer_ms) return close();
-    if (!calls_.session().began() && now - heard_at_ > limits.answer_ms) return close();
+    if (!calls_->session().began() && now - heard_at_ > limits.answer_ms) return close();
     if (now - heard_at_ <= limits.silent_ms) return;
     if (!pinged_) {
       pinged_ = true;
-      calls_.session().ping();
+      calls_->session().ping();
     } else if (now - heard_at_ > limits.silent_ms + limits.answer_ms) {
       close();
     }
   }
 
-  void announce_drain() { calls_.session().announce_drain(); }
+  void announce_drain() { calls_->session().announce_drain(); }
   void drain() {
-    calls_.session().drain();
+    calls_->session().drain();
     flush();
   }
   void close() {
-    if (!stream_) return;
-    stream_->close();
-    stream_.reset();
+    if (closed_) return;
+    closed_ = true;
+    stream_->close();  // and kept: its last events may still come
+    // Now, not when the stream's last event lets go of this: whoever serves the calls may be gone by then.
+    calls_.reset();
     owner_.connections_.erase(id_);  // the stream's last event still holds this
   }
 
  private:
   void on_output() override {
-    if (in_feed_ || flush_asked_ || blocked_ || !stream_) return;
+    if (in_feed_ || flush_asked_ || blocked_ || closed_) return;
     flush_asked_ = true;
     stream_->later();
   }
@@ -99,16 +104,16 @@
   }
 
   void read() {
-    if (reading_ || !stream_ || !calls_.session().wants_input()) return;
+    if (closed_ || reading_ || !calls_->session().wants_input()) return;
     reading_ = true;
     stream_->read(buffer_);
   }
 
   // Danger: writing may end calls, and so lead to more to write.
   void flush() {
-    if (!stream_ || blocked_ || in_feed_) return;
+    if (closed_ || blocked_ || in_feed_) return;
     in_feed_ = true;
-    auto& session = calls_.session();
+    auto& session = calls_->session();
     for (auto bytes = session.output(); !bytes.empty(); bytes = session.output()) {
       const auto written = stream_->write(bytes);
       if (written.broken) {
@@ -134,8 +139,8 @@
   std::string buffer_ = std::string(kRead, '\0');
   Ms heard_at_, progress_at_ = 0;
   bool reading_ = false, blocked_ = false, in_feed_ = false, flush_asked_ = false, ending_ = false;
-  bool pinged_ = false;
-  http2::grpc::Connection calls_;
+  bool pinged_ = false, closed_ = false;
+  std::optional<http2::grpc::Connection> calls_;  // until `close`
 };
 
 GrpcListener::GrpcListener(asio::io_context& io, Clock& clock, http2::grpc::Methods& methods,
@@ -148,7 +153,7 @@
       acceptor_(io),
       retry_accept_(io),
       sweep_timer_(io) {}
-GrpcListener::~GrpcListener() = default;
+GrpcListener::~GrpcListener() { close_all(); }
 
 void GrpcListener::listen(const tcp::endpoint& at) {
   acceptor_.open(at.protocol());
--- /dev/null
+++ b/stand_ins/h2_peer.h
@@ -0,0 +1,93 @@
+// A gRPC client connection on a socket of its own, driven by whoever holds it: non-blocking, with `poll`.
+#pragma once
+
+#include <netinet/tcp.h>
+
+#include <string>
+#include <string_view>
+
+#include "grpc_client.h"
+#include "peer.h"
+
+namespace thistlepond::stand_ins {
+
+class H2Peer : private http2::SessionEvents {
+ public:
+  explicit H2Peer(int port, const http2::Limits& limits = patient())
+      : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)),
+        session_(http2::Role::kClient, limits, *this, 0) {
+    const auto at = loopback(port);
+    if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+      throw Hung("connect failed");
+    }
+    const int one = 1;
+    ::setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  }
+
+  // A client that takes whatever frames its server sends.
+  static http2::Limits patient() {
+    http2::Limits limits;
+    limits.cheap_rate = limits.cheap_burst = 1e9;
+    return limits;
+  }
+  int fd() const { return fd_.get(); }
+  http2::Session& session() { return session_; }
+  bool open() const { return open_; }
+  // Something waits to be written that the socket did not take.
+  bool blocked() const { return blocked_; }
+
+  // Null if no stream is to be had.
+  http2::grpc::ClientCall* call(std::string_view path, std::unique_ptr<http2::grpc::ClientCallEvents> events,
+                                const http2::Headers& metadata = {}) {
+    return http2::grpc::start_call(session_, "127.0.0.1", path, metadata, std::move(events));
+  }
+
+  // Writes what there is, as far as the socket takes it.
+  void flush() {
+    blocked_ = false;
+    for (auto bytes = session_.output(); open_ && !bytes.empty(); bytes = session_.output()) {
+      const auto n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n < 0) {
+        blocked_ = errno == EAGAIN;
+        open_ = blocked_;
+        return;
+      }
+      session_.consumed(static_cast<std::size_t>(n));
+    }
+  }
+  // Takes what has come. False at the end of the connection.
+  bool take() {
+    char part[65536];
+    const auto n = ::recv(fd_.get(), part, sizeof part, MSG_DONTWAIT);
+    if (n < 0 && errno == EAGAIN) return true;
+    if (n <= 0 || !session_.feed(0, {part, static_cast<std::size_t>(n)})) open_ = false;
+    return open_;
+  }
+  // Flushes, waits for something to come and takes it. Throws if nothing does.
+  bool turn() {
+    flush();
+    if (!open_) return false;
+    if (!readable(fd_.get(), kHangMs)) throw Hung("nothing came");
+    const bool more = take();
+    flush();
+    return more;
+  }
+  void reset() {
+    const linger now{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd_.reset();
+    open_ = false;
+  }
+
+ private:
+  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, const http2::Headers&) override {
+    return {};
+  }
+  void on_output() override {}
+
+  Fd fd_;
+  bool open_ = true, blocked_ = false;
+  http2::Session session_;
+};
+
+}  // namespace thistlepond::stand_ins
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -8,8 +8,11 @@
 command -v cmake >/dev/null || need+=(cmake)
 command -v make >/dev/null || need+=(make)
 command -v python3 >/dev/null || need+=(python3)
+# A foreign client of the external processor, for its wire check.
+command -v node >/dev/null || need+=(nodejs)
+command -v npm >/dev/null || need+=(npm)
 deploy=$(sed -n 's/^packages = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
-for package in $deploy libgtest-dev libbenchmark-dev; do
+for package in $deploy libgtest-dev libbenchmark-dev libgrpc++-dev protobuf-compiler-grpc; do
   dpkg -s "$package" >/dev/null 2>&1 || need+=("$package")
 done
 [ ${#need[@]} -eq 0 ] && exit 0
