--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What developers and CI call. Each target installs what is missing first.
-.PHONY: run check install build tools explore bench clean
+.PHONY: run run-extproc check install build tools explore bench clean
 
 install:
 	@tools/install.sh
@@ -8,6 +8,10 @@
 run: tools
 	@build/cometfold-playground build/cometfold
 
+# The external processor between a stand-in proxy and stand-in hosts, a few requests, and the end.
+run-extproc: tools
+	@build/stand-in-proxy tour build/cometfold
+
 # What the platform builds.
 build: install
 	@sh -c "$$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)"
@@ -28,6 +32,7 @@
 bench: tools
 	build/gateway_bench
 	build/micro_bench
+	build/extproc_bench
 
 clean:
 	rm -rf build build-test
--- /dev/null
+++ b/stand_ins/proxy/main.cpp
@@ -0,0 +1,296 @@
+// The external processor between a stand-in proxy and stand-in hosts, all on loopback. `tour` shows what it
+// does
+// (`make run-extproc`); `storm` sends many requests with faults and proxies that misbehave, and judges by the
+// hosts' own record and two counts of the decisions that know nothing of each other.
+#include <CLI/CLI.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "http_host.h"
+#include "program.h"
+#include "proxy.h"
+#include "rules.h"
+#include "words.h"
+
+namespace {
+
+using namespace thistlepond;
+using namespace thistlepond::stand_ins;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+constexpr const char* kClasses[] = {"lookup", "hold", "pay"};
+
+Settings class_settings() {
+  Settings s;
+  s.classes = {{20'000, 60'000, 1, 0, Repeat::kSafe, KeyGroup::kNone, 0},
+               {20'000, 60'000, 1, 0, Repeat::kKeyed, KeyGroup::kAll, 60'000},
+               {20'000, 60'000, 1, 0, Repeat::kUnsafe, KeyGroup::kNone, 0}};
+  s.max_attempts = 4;
+  return s;
+}
+
+// What the hosts saw, judged as it comes.
+class Judge {
+ public:
+  void taken(std::uint64_t request, std::uint32_t class_index) {
+    see({.kind = rules::Event::kTaken, .request = request, .class_index = class_index});
+  }
+  HttpHost::Record record_of(HostId host) {
+    return [this, host](HttpHost::Seen seen, const std::string& id, std::uint64_t number) {
+      rules::Event event;
+      event.kind = seen == HttpHost::Seen::kCame       ? rules::Event::kSendWhole
+                   : seen == HttpHost::Seen::kNeverRan ? rules::Event::kNeverRan
+                                                       : rules::Event::kOver;
+      event.request = std::stoull(id);
+      event.connection = number;
+      event.host = host;
+      if (seen == HttpHost::Seen::kCame) ++came_;
+      see(event);
+    };
+  }
+  std::vector<std::string> breaches() const { return breaches_; }
+  std::uint64_t came() const { return came_; }
+
+ private:
+  void see(rules::Event event) {
+    const std::lock_guard lock(mutex_);
+    event.at = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin_).count();
+    if (const auto breach = rule_.see(event)) breaches_.push_back(breach->why);
+  }
+  std::mutex mutex_;
+  rules::NoRepeat rule_{class_settings()};
+  std::vector<std::string> breaches_;
+  std::atomic<std::uint64_t> came_{0};
+  std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
+};
+
+// An HTTP/1.1 client that goes on with a new connection when one ends.
+class HttpClient {
+ public:
+  explicit HttpClient(int port) : port_(static_cast<std::uint16_t>(port)) {}
+  // The status, 0 if the connection ended instead; `body` is what came.
+  int ask(const std::string& cls, std::uint64_t id, const std::string& misbehave, std::string& body) {
+    try {
+      if (!socket_) {
+        socket_.emplace(io_);
+        socket_->connect({boost::asio::ip::address_v4::loopback(), port_});
+        socket_->set_option(tcp::no_delay(true));
+      }
+      http::request<http::string_body> request(http::verb::get, "/items/" + std::to_string(id), 11);
+      request.set("x-request-id", std::to_string(id));
+      request.set("x-cometfold-class", cls);
+      request.set("x-cometfold-plan", "team");
+      request.set("x-cometfold-customer", "c" + std::to_string(id % 50));
+      request.set("idempotency-key", std::to_string(id));
+      if (!misbehave.empty()) request.set("x-misbehave", misbehave);
+      request.prepare_payload();
+      http::write(*socket_, request);
+      boost::beast::flat_buffer buffer;
+      http::response<http::string_body> response;
+      http::read(*socket_, buffer, response);
+      body = response.body();
+      return static_cast<int>(response.result_int());
+    } catch (const std::exception&) {
+      socket_.reset();
+      body.clear();
+      return 0;
+    }
+  }
+
+ private:
+  std::uint16_t port_;
+  boost::asio::io_context io_;
+  std::optional<tcp::socket> socket_;
+};
+
+// The program with its two files, until it goes.
+class Processor {
+ public:
+  Processor(const std::string& program, const std::vector<std::string>& hosts) {
+    folder_ = std::filesystem::temp_directory_path() / ("cometfold-proxy-" + std::to_string(::getpid()));
+    std::filesystem::create_directory(folder_);
+    std::ofstream(folder_ / "own.toml") << "[extproc]\nlisten = \"127.0.0.1:0\"\nrepeats = \"marked\"\n";
+    auto conf = config(list(7, true, hosts), 9);
+    std::ofstream(folder_ / "config.json") << boost::json::serialize(conf);
+    child_ = std::make_unique<Child>(
+        std::vector<std::string>{program, "--settings", (folder_ / "own.toml").string()},
+        std::vector<std::string>{"EDGE_NAME=n0", "EDGE_LISTEN=127.0.0.1:0", "EDGE_DISCOVERY=127.0.0.1:9",
+                                 "EDGE_CONFIG=" + (folder_ / "config.json").string()});
+    port_ = child_->port_after("external processor");
+  }
+  ~Processor() { std::filesystem::remove_all(folder_); }
+  int port() const { return port_; }
+  // Its own count, by name.
+  std::map<std::string, std::uint64_t> stop() {
+    child_->signal(SIGTERM);
+    const auto line = child_->log_until("external processor: asked");
+    std::map<std::string, std::uint64_t> totals;
+    std::istringstream words(line.substr(line.find("asked")));
+    for (std::string word; words >> word;) {
+      const auto eq = word.find('=');
+      totals[word.substr(0, eq)] = std::stoull(word.substr(eq + 1));
+    }
+    child_->exit_code();
+    return totals;
+  }
+
+ private:
+  std::filesystem::path folder_;
+  std::unique_ptr<Child> child_;
+  int port_ = 0;
+};
+
+struct Bench {
+  explicit Bench(const std::string& program, const HttpFaults& faults) {
+    std::vector<std::string> listed;
+    for (HostId h = 1; h <= 4; ++h) {
+      hosts.push_back(std::make_unique<HttpHost>(faults, h, judge.record_of(h)));
+      listed.push_back(target("s-" + std::to_string(h), hosts.back()->port()));
+    }
+    // One more that nobody serves: connections to it are refused.
+    {
+      Listener dead;
+      listed.push_back(target("s-5", dead.port()));
+    }
+    processor = std::make_unique<Processor>(program, listed);
+    other = std::make_unique<HttpHost>(HttpFaults{}, 9, judge.record_of(9));
+    proxy = std::make_unique<Proxy>(
+        ProxyOptions{.processor = processor->port(), .other = "127.0.0.1:" + std::to_string(other->port())});
+  }
+  Judge judge;
+  std::vector<std::unique_ptr<HttpHost>> hosts;
+  std::unique_ptr<HttpHost> other;
+  std::unique_ptr<Processor> processor;
+  std::unique_ptr<Proxy> proxy;
+};
+
+int tour(const std::string& program) {
+  Bench b(program, {});
+  std::printf("external processor on 127.0.0.1:%d, a proxy on 127.0.0.1:%d, four hosts and a dead one\n",
+              b.processor->port(), b.proxy->port());
+  HttpClient client(b.proxy->port());
+  std::uint64_t id = 0;
+  bool good = true;
+  for (int round = 0; round < 4; ++round) {
+    for (std::uint32_t c = 0; c < 3; ++c) {
+      b.judge.taken(++id, c);
+      std::string body;
+      const int status = client.ask(kClasses[c], id, "", body);
+      std::printf("  GET /items/%-3llu class %-7s -> %d %s\n", static_cast<unsigned long long>(id),
+                  kClasses[c], status, body.c_str());
+      good = good && status != 0;
+    }
+  }
+  std::string body;
+  const int status = client.ask("nope", ++id, "", body);
+  std::printf("  a class that there is not       -> %d %s\n", status, body.c_str());
+  good = good && status == 400;
+  const auto totals = b.processor->stop();
+  std::printf("the processor counted:");
+  for (const auto& [name, n] : totals) {
+    if (n > 0) std::printf(" %s %llu", name.c_str(), static_cast<unsigned long long>(n));
+  }
+  std::printf("\n");
+  return good && b.judge.breaches().empty() ? 0 : 1;
+}
+
+int storm(const std::string& program, std::uint64_t requests, int threads, double misbehaving) {
+  Bench b(program, {.error = 0.03, .full = 0.03, .broken = 0.02, .mean_ms = 0.5});
+  std::atomic<std::uint64_t> next{0};
+  std::mutex mutex;
+  std::map<int, std::uint64_t> statuses;
+  std::uint64_t wrong = 0;
+  const char* ways[] = {"cancel-asked", "cancel-decided", "half-close", "silent", "twice", "elsewhere"};
+  const auto begin = std::chrono::steady_clock::now();
+  {
+    std::vector<std::jthread> clients;
+    for (int t = 0; t < threads; ++t) {
+      clients.emplace_back([&, t] {
+        std::mt19937_64 random(static_cast<std::uint64_t>(t) + 1);
+        HttpClient client(b.proxy->port());
+        for (;;) {
+          const auto id = ++next;
+          if (id > requests) return;
+          const auto c = static_cast<std::uint32_t>(random() % 3);
+          const bool bad = static_cast<double>(random() % 10'000) < misbehaving * 10'000;
+          b.judge.taken(id, c);
+          std::string body;
+          const int status = client.ask(kClasses[c], id, bad ? ways[random() % 6] : "", body);
+          const std::lock_guard lock(mutex);
+          ++statuses[status];
+          if (status == 200 && body != "made for " + std::to_string(id)) ++wrong;
+        }
+      });
+    }
+  }
+  const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+  const auto& p = b.proxy->totals();
+  auto t = b.processor->stop();
+  std::printf("%llu requests in %.1f s; hosts saw %llu\n", static_cast<unsigned long long>(requests), seconds,
+              static_cast<unsigned long long>(b.judge.came()));
+  std::printf("statuses:");
+  for (const auto& [status, n] : statuses)
+    std::printf(" %d: %llu", status, static_cast<unsigned long long>(n));
+  std::printf("\n%-10s %9s %9s %9s %9s %9s %9s\n", "", "asked", "again", "named", "refused", "failed",
+              "left");
+  std::printf("%-10s %9llu %9llu %9llu %9llu %9llu %9llu\n", "proxy", (unsigned long long)p.asked,
+              (unsigned long long)p.again, (unsigned long long)p.named, (unsigned long long)p.refused,
+              (unsigned long long)p.failed, (unsigned long long)p.undecided);
+  std::printf("%-10s %9llu %9llu %9llu %9llu %9llu %9llu\n", "processor", (unsigned long long)t["asked"],
+              (unsigned long long)t["again"], (unsigned long long)t["named"],
+              (unsigned long long)t["refused"], (unsigned long long)t["failed"],
+              (unsigned long long)t["left"]);
+  std::vector<std::string> bad = b.judge.breaches();
+  const auto expect = [&](bool holds, const std::string& what) {
+    if (!holds) bad.push_back(what);
+  };
+  expect(wrong == 0, "answers that belong to other requests");
+  expect(p.extra == 0, "a second decision for one call");
+  expect(p.broken == 0, "calls that got no decision");
+  expect(p.asked + p.again == p.named + p.refused + p.failed + p.undecided, "the proxy's own sum");
+  expect(t["asked"] + t["again"] == t["named"] + t["refused"] + t["failed"] + t["left"],
+         "the processor's own sum");
+  // A call that is cancelled behind its question may or may not have been read.
+  const auto unread = p.asked + p.again - t["asked"] - t["again"];
+  expect(unread <= p.undecided, "questions that the processor did not count");
+  expect(t["named"] >= p.named && t["named"] - p.named <= p.undecided, "hosts named");
+  expect(t["refused"] >= p.refused && t["refused"] - p.refused <= p.undecided, "refusals");
+  expect(t["failed"] >= p.failed && t["failed"] - p.failed <= p.undecided, "failures");
+  for (std::size_t i = 0; i < bad.size() && i < 20; ++i) std::printf("WRONG: %s\n", bad[i].c_str());
+  std::printf(bad.empty() ? "one decision for each; no rule broken in the hosts' own record\n" : "");
+  return bad.empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"The external processor between a stand-in proxy and stand-in hosts"};
+  app.require_subcommand(1);
+  std::string program;
+  std::uint64_t requests = 100'000;
+  int threads = 16;
+  double misbehaving = 0.06;
+  auto* shown = app.add_subcommand("tour", "a few requests, shown");
+  shown->add_option("program", program)->required()->check(CLI::ExistingFile);
+  auto* stormed = app.add_subcommand("storm", "many requests with faults, judged");
+  stormed->add_option("program", program)->required()->check(CLI::ExistingFile);
+  stormed->add_option("--requests", requests);
+  stormed->add_option("--threads", threads);
+  stormed->add_option("--misbehaving", misbehaving, "part of the requests on which the proxy misbehaves");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    return shown->parsed() ? tour(program) : storm(program, requests, threads, misbehaving);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "stand-in-proxy: %s\n", error.what());
+    return 1;
+  }
+}
