--- /dev/null
+++ b/tests/fuzz/processor_fuzz.cpp
@@ -0,0 +1,165 @@
+// libFuzzer: any bytes as a proxy's connection, and any bytes as its messages, with the real processor, engine and
+// module behind them. What must hold: no crash, no sanitizer report, nothing left when the connection is over.
+//
+// The first byte chooses: bytes of the connection as they come, or messages, each with two bytes of length before it,
+// on calls that take turns.
+#include <cstdlib>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "engine.h"
+#include "grpc_server.h"
+#include "module.h"
+#include "processor.h"
+
+namespace {
+
+using namespace thistlepond;
+using namespace thistlepond::extproc;
+
+struct Nobody : engine::HostSide {
+  engine::StartResult start(Ms, engine::AttemptId, HostId, const engine::Payload&, Ms) override {
+    return engine::StartResult::kNoHost;
+  }
+  bool abandon(Ms, engine::AttemptId) override { return true; }
+  bool withdraw(Ms, engine::AttemptId) override { return false; }
+  void retire(Ms, HostId) override {}
+};
+
+Names names() {
+  Names n{{"lookup", "pay"}, {"team"}, {}};
+  n.settings.classes = {{2000, 6000, 1, 0, Repeat::kSafe, KeyGroup::kNone, 0},
+                        {2000, 6000, 1, 0, Repeat::kUnsafe, KeyGroup::kNone, 0}};
+  n.settings.plans.resize(1);
+  n.settings.plans[0].quota_rate = n.settings.plans[0].burst = 1e6;
+  n.settings.gateways = 1;
+  n.settings.max_attempts = 4;
+  n.settings.tick_ms = 4;
+  n.settings.overload_factor = 2;
+  n.settings.cold_from = 0.2;
+  n.settings.warm_after_ms = n.settings.fall_ms = 1000;
+  return n;
+}
+
+extproc::Settings settings() {
+  extproc::Settings s;
+  s.repeats = Repeats::kMarked;
+  s.mapping.default_class = "lookup";
+  s.mapping.default_plan = "team";
+  s.mapping.default_customer = "c";
+  return s;
+}
+
+struct World : http2::grpc::Methods, http2::SessionEvents {
+  World() {
+    engine.add_hosts(processor);
+    engine.start(now);
+    for (HostId h = 1; h <= 2; ++h) {
+      processor.add(h, "127.0.0.1:1");
+      const HostEntry entry{.id = h};
+      engine.on_list(now, ListKind::kChanges, {&entry, 1});
+    }
+  }
+  http2::grpc::Service* find(std::string_view path) override { return path == kProcess ? &processor : nullptr; }
+  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, const http2::Headers&) override { return {}; }
+  void on_output() override {}
+  void pass(Ms ms) {
+    const Ms until = now + ms;
+    for (;;) {
+      auto due = engine.next_due();
+      if (const auto fetch = processor.next_due(); fetch && (!due || *fetch < *due)) due = fetch;
+      if (!due || *due > until) break;
+      now = std::max(now, *due);
+      engine.run_due(now);
+      processor.run_due(now);
+    }
+    now = until;
+  }
+  void expect_empty() {
+    pass(20'000);
+    if (engine.held() != 0 || engine.owed() != 0 || processor.open() != 0) std::abort();
+  }
+
+  Ms now = 1e6;
+  engine::ControlModule module{names().settings, 1};
+  Nobody nobody;
+  engine::Engine engine{module, nobody, {}, [](std::string_view, std::string_view) {}};
+  Processor processor{engine, names(), settings(), 3};
+};
+
+void as_connection(World& world, std::string_view bytes) {
+  http2::grpc::ServerLimits limits;
+  limits.message_bytes = 4096;
+  http2::grpc::Connection connection(limits, world, world, world.now);
+  auto& session = connection.session();
+  bool more = true;
+  while (more && !bytes.empty()) {
+    const auto part = bytes.substr(0, 1 + static_cast<unsigned char>(bytes[0]) % 97);
+    bytes.remove_prefix(part.size());
+    more = session.feed(world.now, part);
+    for (auto out = session.output(); !out.empty(); out = session.output()) session.consumed(out.size());
+    if (session.unsent() > 8 * 1024 * 1024) std::abort();
+    world.pass(1);
+  }
+}
+
+struct Sink : http2::grpc::Call {
+  void send(std::string_view) override {
+    if (finished) std::abort();
+    ++waiting;
+  }
+  bool take_back() override {
+    if (waiting == 0) return false;
+    --waiting;
+    return true;
+  }
+  void finish(const http2::grpc::Status&) override {
+    if (finished) std::abort();
+    finished = true;
+  }
+  int waiting = 0;
+  bool finished = false;
+};
+
+void as_messages(World& world, std::string_view bytes) {
+  std::vector<std::unique_ptr<Sink>> sinks;
+  std::vector<std::unique_ptr<http2::grpc::CallEvents>> calls;
+  for (int i = 0; i < 3; ++i) {
+    sinks.push_back(std::make_unique<Sink>());
+    calls.push_back(world.processor.open(world.now, *sinks.back(), {}));
+  }
+  for (std::size_t turn = 0; bytes.size() >= 2; ++turn) {
+    const std::size_t size = static_cast<unsigned char>(bytes[0]) | (static_cast<unsigned char>(bytes[1]) & 3) << 8;
+    const unsigned what = static_cast<unsigned char>(bytes[1]) >> 2;
+    bytes.remove_prefix(2);
+    const auto message = bytes.substr(0, size);
+    bytes.remove_prefix(message.size());
+    const std::size_t at = what % 3;
+    if (!sinks[at]->finished) calls[at]->on_message(world.now, message);
+    if (what & 4) sinks[at]->waiting = 0;  // it has left
+    if (what & 8) world.pass(50);
+    if ((what & 48) == 48) {
+      const HostEntry entry{.id = 1, .state = what & 4 ? HostState::kDraining : HostState::kReady};
+      if (entry.state == HostState::kReady) world.processor.add(1, "127.0.0.1:1");
+      world.engine.on_list(world.now, ListKind::kChanges, {&entry, 1});
+    }
+    if ((what & 48) == 32) {
+      calls[at]->on_gone(world.now);
+      sinks[at] = std::make_unique<Sink>();
+      calls[at] = world.processor.open(world.now, *sinks[at], {});
+    }
+  }
+  for (auto& c : calls) c->on_gone(world.now);
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size == 0) return 0;
+  const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+  World world;
+  data[0] % 2 ? as_messages(world, bytes) : as_connection(world, bytes);
+  world.expect_empty();
+  return 0;
+}
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -8,7 +8,9 @@
 command -v cmake >/dev/null || need+=(cmake)
 command -v make >/dev/null || need+=(make)
 command -v python3 >/dev/null || need+=(python3)
-# A foreign client of the external processor, for its wire check.
+# The fuzzer; a foreign client of the external processor, for its wire check.
+command -v clang++ >/dev/null || need+=(clang)
+ls /usr/lib/llvm-*/lib/clang/*/lib/linux/libclang_rt.fuzzer-x86_64.a >/dev/null 2>&1 || need+=(libclang-rt-14-dev)
 command -v node >/dev/null || need+=(nodejs)
 command -v npm >/dev/null || need+=(npm)
 deploy=$(sed -n 's/^packages = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
