--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -39,8 +39,8 @@
   for (const bool desperate : {false, true}) {
     for (auto& [id, h] : hosts) {
       if (!usable(h) || !in_group(r, p.bound, h) || awaited(h) >= limit(h)) continue;
-      const bool tried =
-          std::any_of(r.attempts.begin(), r.attempts.end(), [&h = h](auto& a) { return a.host == h.entry.id; });
+      const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
+                                     [&h = h](auto& a) { return a.host == h.entry.id; });
       if ((!desperate && (tried || ejected(h))) || !cold_allows(h, all)) continue;
       const double c = cost(h, r.ask) * (1 + 0.02 * draw());
       if (!best || c < best_cost) best = &h, best_cost = c;
--- a/src/extproc/exchange.h
+++ b/src/extproc/exchange.h
@@ -6,14 +6,10 @@
 #include <string>
 #include <string_view>
 
+#include "messages.h"
 #include "outcomes.h"
 #include "processor.h"
 
-namespace envoy::service::ext_proc::v3 {
-class HttpHeaders;
-class ProcessingRequest;
-}  // namespace envoy::service::ext_proc::v3
-
 namespace thistlepond::extproc {
 
 // An answer to the proxy's client; see `Immediate`.
@@ -52,7 +48,6 @@
   void superseded();
 
  private:
-  using Message = envoy::service::ext_proc::v3::ProcessingRequest;
   struct Report {
     Seen seen;
     LoadReport load;
@@ -62,8 +57,7 @@
   void ask(Ms now, const Message& message);
   void report(Ms now, const Message& message);
   void on_report(Ms now, const Report& report);
-  void on_body(const Message& message);
-  void on_trailers(const Message& message);
+  void on_part(const Message& message);
   void forbidden(Ms now, const char* what);
   void complain(Ms now, http2::grpc::Status status);
 
--- a/src/extproc/mapper.h
+++ b/src/extproc/mapper.h
@@ -9,13 +9,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "headers.h"
 #include "processor_settings.h"
 
 namespace thistlepond::extproc {
 
-struct HeaderView {
-  std::string_view name, value;
-};
+using http2::HeaderView;
 
 // A request as its headers have it. The views last as long as the headers.
 struct Mapped {
--- /dev/null
+++ b/src/extproc/messages.cpp
@@ -0,0 +1,183 @@
+#include "messages.h"
+
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
+namespace thistlepond::extproc {
+
+namespace {
+
+using google::protobuf::internal::WireFormatLite;
+using Stream = google::protobuf::io::CodedInputStream;
+
+// The fields of one message.
+class Fields {
+ public:
+  explicit Fields(std::string_view bytes)
+      : in_(reinterpret_cast<const std::uint8_t*>(bytes.data()), static_cast<int>(bytes.size())) {}
+
+  // The next field, or 0 at the end, where `whole` says whether the message was good.
+  int next() {
+    tag_ = in_.ReadTag();
+    if (tag_ == 0) whole_ = in_.ConsumedEntireMessage() && whole_;
+    return WireFormatLite::GetTagFieldNumber(tag_);
+  }
+  bool whole() const { return whole_; }
+
+  // The value of the field that `next` gave; of another wire type than the field has, it is skipped as
+  // unknown.
+  bool bytes(std::string_view& into) {
+    if (WireFormatLite::GetTagWireType(tag_) != WireFormatLite::WIRETYPE_LENGTH_DELIMITED) return skip();
+    std::uint32_t size = 0;
+    const void* at = nullptr;
+    int there = 0;
+    if (!in_.ReadVarint32(&size) || size > 0x7fffffff) return whole_ = false;
+    if (size == 0) {
+      into = {};
+      return true;
+    }
+    if (!in_.GetDirectBufferPointer(&at, &there) || static_cast<std::uint32_t>(there) < size)
+      return whole_ = false;
+    into = {static_cast<const char*>(at), size};
+    return whole_ = in_.Skip(static_cast<int>(size));
+  }
+  template <class Number>
+  bool number(Number& into) {
+    if (WireFormatLite::GetTagWireType(tag_) != WireFormatLite::WIRETYPE_VARINT) return skip();
+    std::uint64_t value = 0;
+    if (!in_.ReadVarint64(&value)) return whole_ = false;
+    into = static_cast<Number>(value);
+    return true;
+  }
+  bool skip() { return whole_ = WireFormatLite::SkipField(&in_, tag_); }
+
+ private:
+  Stream in_;
+  std::uint32_t tag_ = 0;
+  bool whole_ = true;
+};
+
+// Plays `each` on all fields of a message; it gets the number and reads or skips.
+template <class Each>
+bool read_fields(std::string_view bytes, Each&& each) {
+  Fields fields(bytes);
+  for (int field = fields.next(); field != 0; field = fields.next()) {
+    if (!each(field, fields)) return false;
+  }
+  return fields.whole();
+}
+
+// HeaderMap { repeated HeaderValue headers = 1; }, HeaderValue { key = 1; value = 2; raw_value = 3; }
+bool read_header_map(std::string_view bytes, std::vector<HeaderView>& into) {
+  return read_fields(bytes, [&](int field, Fields& map) {
+    if (field != 1) return map.skip();
+    std::string_view one, value, raw;
+    if (!map.bytes(one)) return false;
+    HeaderView header;
+    const bool good = read_fields(one, [&](int part, Fields& fields) {
+      if (part == 1) return fields.bytes(header.name);
+      if (part == 2) return fields.bytes(value);
+      if (part == 3) return fields.bytes(raw);
+      return fields.skip();
+    });
+    header.value = raw.empty() ? value : raw;  // proxies fill one of the two
+    into.push_back(header);
+    return good;
+  });
+}
+
+// HttpHeaders { headers = 1; end_of_stream = 3; }
+bool read_headers(std::string_view bytes, Message& into) {
+  into.headers.clear();
+  into.end_of_stream = false;
+  return read_fields(bytes, [&](int field, Fields& fields) {
+    std::string_view map;
+    if (field == 1) return fields.bytes(map) && read_header_map(map, into.headers);
+    if (field == 3) return fields.number(into.end_of_stream);
+    return fields.skip();
+  });
+}
+
+// HttpBody { body = 1; end_of_stream = 2; }
+bool read_body(std::string_view bytes, Message& into) {
+  into.body = {};
+  into.end_of_stream = false;
+  return read_fields(bytes, [&](int field, Fields& fields) {
+    if (field == 1) return fields.bytes(into.body);
+    if (field == 2) return fields.number(into.end_of_stream);
+    return fields.skip();
+  });
+}
+
+// Value { string_value = 3; }
+bool read_value(std::string_view bytes, std::string_view& into) {
+  return read_fields(
+      bytes, [&](int field, Fields& fields) { return field == 3 ? fields.bytes(into) : fields.skip(); });
+}
+
+// An entry of a map { key = 1; value = 2; }
+bool read_entry(std::string_view bytes, std::string_view& key, std::string_view& value) {
+  return read_fields(bytes, [&](int field, Fields& fields) {
+    if (field == 1) return fields.bytes(key);
+    if (field == 2) return fields.bytes(value);
+    return fields.skip();
+  });
+}
+
+// map<string, Struct>: by the filter's name, attributes by theirs.
+bool read_attributes(std::string_view entry, Message& into) {
+  std::string_view filter, attributes;
+  if (!read_entry(entry, filter, attributes)) return false;
+  return read_fields(attributes,
+                     [&](int field, Fields& fields) {  // Struct { map<string, Value> fields = 1; }
+                       if (field != 1) return fields.skip();
+                       std::string_view one, name, value;
+                       if (!fields.bytes(one) || !read_entry(one, name, value)) return false;
+                       return name != "response.code_details" || read_value(value, into.code_details);
+                     });
+}
+
+bool read_protocol_config(std::string_view bytes, Message& into) {
+  return read_fields(bytes, [&](int field, Fields& fields) {
+    if (field == 1) return fields.number(into.request_body_mode);
+    if (field == 2) return fields.number(into.response_body_mode);
+    return fields.skip();
+  });
+}
+
+}  // namespace
+
+bool read_message(std::string_view bytes, Message& into) {
+  into.part = Message::kNone;
+  into.headers.clear();
+  into.observability_mode = false;
+  into.request_body_mode = into.response_body_mode = 0;
+  into.code_details = {};
+  return read_fields(bytes, [&](int field, Fields& fields) {
+    std::string_view inner;
+    switch (field) {
+      case Message::kRequestHeaders:
+      case Message::kResponseHeaders:
+        into.part = static_cast<Message::Part>(field);
+        return fields.bytes(inner) && read_headers(inner, into);
+      case Message::kRequestBody:
+      case Message::kResponseBody:
+        into.part = static_cast<Message::Part>(field);
+        return fields.bytes(inner) && read_body(inner, into);
+      case Message::kRequestTrailers:
+      case Message::kResponseTrailers:
+        into.part = static_cast<Message::Part>(field);
+        return fields.bytes(inner);
+      case 9:
+        return fields.bytes(inner) && read_attributes(inner, into);
+      case 10:
+        return fields.number(into.observability_mode);
+      case 11:
+        return fields.bytes(inner) && read_protocol_config(inner, into);
+      default:
+        return fields.skip();
+    }
+  });
+}
+
+}  // namespace thistlepond::extproc
--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -96,7 +96,7 @@
   if (!known || *known != endpoint) known = std::make_shared<const std::string>(std::move(endpoint));
 }
 
-std::unique_ptr<http2::grpc::CallEvents> Processor::open(Ms, http2::grpc::Call& call, const http2::Headers&) {
+std::unique_ptr<http2::grpc::CallEvents> Processor::open(Ms, http2::grpc::Call& call, http2::HeaderBlock) {
   return std::make_unique<Exchange>(*this, call, settings_, mapper_);
 }
 
--- a/src/extproc/processor.h
+++ b/src/extproc/processor.h
@@ -30,6 +30,7 @@
 #include "engine.h"
 #include "grpc_server.h"
 #include "mapper.h"
+#include "messages.h"
 #include "processor_settings.h"
 
 namespace thistlepond::extproc {
@@ -78,7 +79,7 @@
 
   // http2::grpc::Service
   std::unique_ptr<http2::grpc::CallEvents> open(Ms now, http2::grpc::Call& call,
-                                                const http2::Headers& headers) override;
+                                                http2::HeaderBlock headers) override;
 
  private:
   class Exchange;
@@ -131,6 +132,7 @@
   Names names_;
   std::uint64_t seed_;
   Totals totals_;
+  Message message_;  // that is being read: one at a time
 
   std::unordered_map<HostId, std::shared_ptr<const std::string>> hosts_;
   std::unordered_map<RecordId, Record> records_;
--- a/src/extproc/responses.cpp
+++ b/src/extproc/responses.cpp
@@ -1,6 +1,7 @@
 #include "responses.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "external_processor.pb.h"
@@ -101,7 +102,9 @@
   return response.SerializeAsString();
 }
 
-std::string continue_response(Part part) {
+namespace {
+
+std::string make_continue(Part part) {
   pb::ProcessingResponse response;
   switch (part) {
     case Part::kResponseHeaders:
@@ -123,6 +126,16 @@
   return response.SerializeAsString();
 }
 
+}  // namespace
+
+const std::string& continue_response(Part part) {
+  static const std::array<std::string, 5> all{
+      make_continue(Part::kResponseHeaders), make_continue(Part::kRequestBody),
+      make_continue(Part::kResponseBody), make_continue(Part::kRequestTrailers),
+      make_continue(Part::kResponseTrailers)};
+  return all[static_cast<std::size_t>(part)];
+}
+
 std::string echo_response(Part part, std::string_view body, bool end) {
   pb::ProcessingResponse response;
   auto& answer =
--- a/src/extproc/responses.h
+++ b/src/extproc/responses.h
@@ -30,7 +30,7 @@
 
 // 'Go on' for what else the proxy sends.
 enum class Part { kResponseHeaders, kRequestBody, kResponseBody, kRequestTrailers, kResponseTrailers };
-std::string continue_response(Part part);
+const std::string& continue_response(Part part);
 // A piece of a body in the mode in which the proxy sends on only what it gets back.
 std::string echo_response(Part part, std::string_view body, bool end);
 
--- a/src/http2/grpc_client.cpp
+++ b/src/http2/grpc_client.cpp
@@ -66,7 +66,7 @@
   }
   void cancel() override { stream_->reset(NGHTTP2_CANCEL); }
 
-  void on_headers(Ms, const Headers& headers) override {
+  void on_headers(Ms, HeaderBlock headers) override {
     const auto status = find(headers, ":status");
     if (!status.empty() && status != "200")
       status_ = {by_http_status(status), "HTTP status " + std::string(status)};
--- a/src/http2/grpc_server.cpp
+++ b/src/http2/grpc_server.cpp
@@ -33,18 +33,17 @@
   }
   ~Exchange() override { heard(); }
 
-  void open(Ms now, Service& service, const Headers& headers) { events_ = service.open(now, *this, headers); }
+  void open(Ms now, Service& service, HeaderBlock headers) { events_ = service.open(now, *this, headers); }
 
   // Call
   void send(std::string_view message) override {
     if (finished_) return;
-    std::string framed;
-    framed.reserve(kPrefix + message.size());
-    append_prefix(framed, message.size());
-    framed += message;
-    last_ = framed.size();
+    std::string prefix;
+    append_prefix(prefix, message.size());
+    last_ = prefix.size() + message.size();
     stream_.respond(kResponse);
-    stream_.write(framed);
+    stream_.write(prefix);
+    stream_.write(message);
   }
   bool take_back() override {
     if (last_ == 0 || finished_ || !stream_.take_back(last_)) return false;
@@ -59,7 +58,7 @@
   }
 
   // StreamEvents
-  void on_headers(Ms, const Headers&) override {}  // trailers of a request: gRPC has none
+  void on_headers(Ms, HeaderBlock) override {}  // trailers of a request: gRPC has none
   void on_data(Ms now, std::string_view bytes) override {
     const auto before = reader_.held();
     std::string_view message;
@@ -112,7 +111,7 @@
     : limits_(limits), methods_(methods), owner_(owner), session_(Role::kServer, limits.http2, *this, now) {}
 Connection::~Connection() = default;
 
-std::unique_ptr<StreamEvents> Connection::on_request(Ms now, Stream& stream, const Headers& headers) {
+std::unique_ptr<StreamEvents> Connection::on_request(Ms now, Stream& stream, HeaderBlock headers) {
   if (find(headers, ":method") != "POST") {
     answer_plain(stream, "405", "gRPC calls are made by POST\n");
     return {};
--- a/src/http2/grpc_server.h
+++ b/src/http2/grpc_server.h
@@ -40,7 +40,7 @@
  public:
   virtual ~Service() = default;
   // A call of the method that this service stands for. `headers`, the call's metadata, last until the return.
-  virtual std::unique_ptr<CallEvents> open(Ms now, Call& call, const Headers& headers) = 0;
+  virtual std::unique_ptr<CallEvents> open(Ms now, Call& call, HeaderBlock headers) = 0;
 };
 
 struct ServerLimits {
@@ -71,7 +71,7 @@
  private:
   class Exchange;
 
-  std::unique_ptr<StreamEvents> on_request(Ms now, Stream& stream, const Headers& headers) override;
+  std::unique_ptr<StreamEvents> on_request(Ms now, Stream& stream, HeaderBlock headers) override;
   void on_output() override { owner_.on_output(); }
 
   ServerLimits limits_;
--- /dev/null
+++ b/src/http2/headers.h
@@ -0,0 +1,27 @@
+// Headers of HTTP, as they go out and as they come.
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace thistlepond::http2 {
+
+struct Header {
+  std::string name;  // lower case; pseudo-headers begin with a colon
+  std::string value;
+  bool operator==(const Header&) const = default;
+};
+using Headers = std::vector<Header>;
+
+// Headers that came, as views that last until the call with them returns.
+struct HeaderView {
+  std::string_view name, value;
+};
+using HeaderBlock = std::span<const HeaderView>;
+
+// The value of the first header with this name; empty if there is none.
+std::string_view find(HeaderBlock headers, std::string_view name);
+
+}  // namespace thistlepond::http2
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-std::string_view find(const Headers& headers, std::string_view name) {
+std::string_view find(HeaderBlock headers, std::string_view name) {
   for (const auto& h : headers) {
     if (h.name == name) return h.value;
   }
@@ -68,7 +68,8 @@
 
   static int begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* user) {
     Session& s = of(user);
-    s.block_.clear();
+    s.block_text_.clear();
+    s.pieces_.clear();
     s.block_bytes_ = 0;
     if (s.role_ == Role::kServer && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
       s.begin_stream(frame->hd.stream_id);
@@ -87,7 +88,10 @@
       if (s.ended_for_ == 0) s.terminate(NGHTTP2_ENHANCE_YOUR_CALM);
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
-    s.block_.push_back({std::string(text(name, name_size)), std::string(text(value, value_size))});
+    const std::size_t at = s.block_text_.size();
+    s.pieces_.push_back({at, at + name_size, at + name_size + value_size});
+    s.block_text_ += text(name, name_size);
+    s.block_text_ += text(value, value_size);
     return 0;
   }
 
@@ -374,7 +378,14 @@
   if (block_bytes_ > limits_.header_bytes) {
     if (role_ == Role::kServer && !stream.responded_) return stream.respond({{":status", "431"}}, true);
     stream.reset(NGHTTP2_ENHANCE_YOUR_CALM);
-  } else if (stream.events_) {
+    return;
+  }
+  block_.clear();
+  const std::string_view all = block_text_;
+  for (const auto& p : pieces_) {
+    block_.push_back({all.substr(p.name, p.value - p.name), all.substr(p.value, p.end - p.value)});
+  }
+  if (stream.events_) {
     stream.events_->on_headers(now_, block_);
   } else if (role_ == Role::kServer && !stream.responded_ && !stream.finished_) {
     stream.events_ = events_.on_request(now_, stream, block_);
--- a/src/http2/session.h
+++ b/src/http2/session.h
@@ -15,25 +15,17 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "headers.h"
 #include "thistlepond/control.h"
 
 namespace thistlepond::http2 {
 
-struct Header {
-  std::string name;  // lower case; pseudo-headers begin with a colon
-  std::string value;
-  bool operator==(const Header&) const = default;
-};
-using Headers = std::vector<Header>;
-
-// The value of the first header with this name; empty if there is none.
-std::string_view find(const Headers& headers, std::string_view name);
-
 struct Limits {
   std::uint32_t streams = 10'000;        // open at once, begun by the other side
   std::size_t header_bytes = 16 * 1024;  // of one block as RFC 9113 section 6.5.2 counts it
@@ -56,8 +48,8 @@
 class StreamEvents {
  public:
   virtual ~StreamEvents() = default;
-  // Further blocks: a response (client role) or trailers. The headers last until the call returns.
-  virtual void on_headers(Ms now, const Headers& headers) = 0;
+  // Further blocks: a response (client role) or trailers.
+  virtual void on_headers(Ms now, HeaderBlock headers) = 0;
   virtual void on_data(Ms now, std::string_view bytes) = 0;
   virtual void on_end(Ms now) = 0;  // the other side sends nothing more
   virtual void on_closed(Ms now, ErrorCode code) = 0;
@@ -99,7 +91,7 @@
  public:
   virtual ~SessionEvents() = default;
   // Server role: a request's headers are whole. Null if it has been answered and nothing more is to be heard.
-  virtual std::unique_ptr<StreamEvents> on_request(Ms now, Stream& stream, const Headers& headers) = 0;
+  virtual std::unique_ptr<StreamEvents> on_request(Ms now, Stream& stream, HeaderBlock headers) = 0;
   // There is something to write. May come at any time and must not write from inside.
   virtual void on_output() = 0;
 };
@@ -158,7 +150,13 @@
   nghttp2_session* session_ = nullptr;
   Ms now_;
   std::unordered_map<std::int32_t, std::unique_ptr<Stream>> streams_;
-  Headers block_;  // that is being read: blocks of two streams never mix
+  // The block that is being read: blocks of two streams never mix. Names and values stand in one text.
+  struct Piece {
+    std::size_t name, value, end;
+  };
+  std::string block_text_;
+  std::vector<Piece> pieces_;
+  std::vector<HeaderView> block_;
   std::size_t block_bytes_ = 0;
   std::string buffer_;
   std::size_t written_ = 0;
--- a/src/net/grpc_listener.cpp
+++ b/src/net/grpc_listener.cpp
@@ -99,7 +99,7 @@
     flush_asked_ = true;
     stream_->later();
   }
-  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, const http2::Headers&) override {
+  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, http2::HeaderBlock) override {
     return {};  // the calls' own
   }
 
--- a/stand_ins/h2_peer.h
+++ b/stand_ins/h2_peer.h
@@ -80,7 +80,7 @@
   }
 
  private:
-  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, const http2::Headers&) override {
+  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, http2::HeaderBlock) override {
     return {};
   }
   void on_output() override {}
--- a/tests/fuzz/processor_fuzz.cpp
+++ b/tests/fuzz/processor_fuzz.cpp
@@ -1,8 +1,9 @@
-// libFuzzer: any bytes as a proxy's connection, and any bytes as its messages, with the real processor, engine and
-// module behind them. What must hold: no crash, no sanitizer report, nothing left when the connection is over.
+// libFuzzer: any bytes as a proxy's connection, and any bytes as its messages, with the real processor,
+// engine and module behind them. What must hold: no crash, no sanitizer report, nothing left when the
+// connection is over.
 //
-// The first byte chooses: bytes of the connection as they come, or messages, each with two bytes of length before it,
-// on calls that take turns.
+// The first byte chooses: bytes of the connection as they come, or messages, each with two bytes of length
+// before it, on calls that take turns.
 #include <cstdlib>
 #include <memory>
 #include <string_view>
@@ -61,8 +62,12 @@
       engine.on_list(now, ListKind::kChanges, {&entry, 1});
     }
   }
-  http2::grpc::Service* find(std::string_view path) override { return path == kProcess ? &processor : nullptr; }
-  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, const http2::Headers&) override { return {}; }
+  http2::grpc::Service* find(std::string_view path) override {
+    return path == kProcess ? &processor : nullptr;
+  }
+  std::unique_ptr<http2::StreamEvents> on_request(Ms, http2::Stream&, http2::HeaderBlock) override {
+    return {};
+  }
   void on_output() override {}
   void pass(Ms ms) {
     const Ms until = now + ms;
@@ -130,7 +135,8 @@
     calls.push_back(world.processor.open(world.now, *sinks.back(), {}));
   }
   for (std::size_t turn = 0; bytes.size() >= 2; ++turn) {
-    const std::size_t size = static_cast<unsigned char>(bytes[0]) | (static_cast<unsigned char>(bytes[1]) & 3) << 8;
+    const std::size_t size = static_cast<unsigned char>(bytes[0]) | (static_cast<unsigned char>(bytes[1]) & 3)
+                                                                        << 8;
     const unsigned what = static_cast<unsigned char>(bytes[1]) >> 2;
     bytes.remove_prefix(2);
     const auto message = bytes.substr(0, size);
--- a/tests/fuzz/seeds.cpp
+++ b/tests/fuzz/seeds.cpp
@@ -1,4 +1,5 @@
-// Writes the fuzz target's seed corpus: good connections and good messages, from which it goes on. seeds FOLDER
+// Writes the fuzz target's seed corpus: good connections and good messages, from which it goes on. seeds
+// FOLDER
 #include <filesystem>
 #include <fstream>
 
@@ -23,17 +24,22 @@
                                       {"x-envoy-attempt-count", attempt},
                                       {"x-cometfold-class", "pay"}});
   };
-  const std::string report = messages::response_headers({{":status", "503"}, {"endpoint-load-metrics", "TEXT eps=1"}},
-                                                        {{"response.code_details", "via_upstream"}});
-  for (const auto& more : {std::string(), frame(kDataFrame, kEndStream, 1, message(report)),
-                           frame(kResetFrame, 0, 1, std::string("\0\0\0\10", 4)),
-                           frame(kPingFrame, 0, 0, "12345678") + frame(kDataFrame, 0, 1, message(report).substr(0, 7))}) {
+  const std::string report =
+      messages::response_headers({{":status", "503"}, {"endpoint-load-metrics", "TEXT eps=1"}},
+                                 {{"response.code_details", "via_upstream"}});
+  for (const auto& more :
+       {std::string(), frame(kDataFrame, kEndStream, 1, message(report)),
+        frame(kResetFrame, 0, 1, std::string("\0\0\0\10", 4)),
+        frame(kPingFrame, 0, 0, "12345678") + frame(kDataFrame, 0, 1, message(report).substr(0, 7))}) {
     seed(std::string(1, '\0') + kPreface + frame(kHeadersFrame, kEndHeaders, 1, call_headers(path)) +
          frame(kDataFrame, 0, 1, message(ask("a", "1"))) + more);
   }
   const auto one = [](const std::string& m, unsigned what) {
-    return std::string{static_cast<char>(m.size() & 255), static_cast<char>((m.size() >> 8 & 3) | what << 2)} + m;
+    return std::string{static_cast<char>(m.size() & 255),
+                       static_cast<char>((m.size() >> 8 & 3) | what << 2)} +
+           m;
   };
   seed(std::string(1, '\1') + one(ask("a", "1"), 4) + one(report, 0) + one(ask("a", "2"), 1));
-  seed(std::string(1, '\1') + one(ask("a", "1"), 0) + one(ask("a", "1"), 1) + one(report, 52) + one(report, 33));
+  seed(std::string(1, '\1') + one(ask("a", "1"), 0) + one(ask("a", "1"), 1) + one(report, 52) +
+       one(report, 33));
 }
--- a/tests/http2_support.h
+++ b/tests/http2_support.h
@@ -59,7 +59,7 @@
     bool half_closed = false, gone = false;
     grpc::Call* call = nullptr;
   };
-  std::unique_ptr<grpc::CallEvents> open(Ms, grpc::Call& call, const Headers&) override {
+  std::unique_ptr<grpc::CallEvents> open(Ms, grpc::Call& call, HeaderBlock) override {
     calls.push_back(std::make_shared<Seen>());
     calls.back()->call = &call;
     return std::make_unique<One>(*this, calls.back());
@@ -95,7 +95,7 @@
   grpc::Service* find(std::string_view path) override {
     return path == "/test.Echo/Echo" || path.starts_with("/envoy.") ? service_ : nullptr;
   }
-  std::unique_ptr<StreamEvents> on_request(Ms, Stream&, const Headers&) override { return {}; }
+  std::unique_ptr<StreamEvents> on_request(Ms, Stream&, HeaderBlock) override { return {}; }
   void on_output() override {}
   // Feeds bytes; false once the connection has ended.
   bool feed(std::string_view bytes, Ms now = 0) {
@@ -171,7 +171,7 @@
     }
     std::shared_ptr<Heard> heard;
   };
-  std::unique_ptr<StreamEvents> on_request(Ms, Stream&, const Headers&) override { return {}; }
+  std::unique_ptr<StreamEvents> on_request(Ms, Stream&, HeaderBlock) override { return {}; }
   void on_output() override {}
 
  public:
