--- a/bench/extproc_bench.cpp
+++ b/bench/extproc_bench.cpp
@@ -10,6 +10,7 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
@@ -310,6 +311,77 @@
   f.bytes_a_stream = (with - f.resident_kb) * 1024 / static_cast<double>(o.streams);
 }
 
+// Connections that attack in turn, each as fast as it is let: resets, pings, half-open calls, large headers,
+// noise.
+class Attackers {
+ public:
+  explicit Attackers(int port) : port_(port), thread_([this](std::stop_token stop) { run(stop); }) {}
+  std::uint64_t connections() const { return connections_; }
+
+ private:
+  static std::string frame(unsigned type, unsigned flags, std::uint32_t stream, const std::string& payload) {
+    std::string out;
+    for (int shift = 16; shift >= 0; shift -= 8) out += static_cast<char>(payload.size() >> shift & 0xff);
+    out += static_cast<char>(type);
+    out += static_cast<char>(flags);
+    for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(stream >> shift & 0xff);
+    return out + payload;
+  }
+  static std::string literal(const std::string& name, const std::string& value) {
+    return std::string(1, '\0') + static_cast<char>(name.size()) + name + static_cast<char>(value.size()) +
+           value;
+  }
+  void run(const std::stop_token& stop) {
+    const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(4, 0, 0, "");
+    const std::string call = literal(":method", "POST") + literal(":scheme", "http") +
+                             literal(":path", kPath) + literal(":authority", "a") +
+                             literal("content-type", "application/grpc");
+    std::string resets = preface, pings = preface, half = preface, large = preface;
+    for (std::uint32_t i = 0; i < 5000; ++i) {
+      const auto id = 2 * i + 1;
+      resets += frame(1, 4, id, call) + frame(3, 0, id, std::string("\0\0\0\10", 4));
+      pings += frame(6, 0, 0, "12345678");
+      half += frame(1, 4, id, call);
+    }
+    std::string bloated = call;
+    for (int i = 0; i < 60; ++i) bloated += literal("x-" + std::to_string(i), std::string(120, 'v'));
+    for (std::uint32_t i = 0; i < 200; ++i) large += frame(1, 4, 2 * i + 1, bloated + bloated);
+    const std::string noise(200'000, 'x');
+    const std::string* all[] = {&resets, &pings, &half, &large, &noise};
+    for (std::size_t n = 0; !stop.stop_requested(); ++n) {
+      try {
+        auto peer = Peer::connect(port_);
+        ++connections_;
+        peer.send(*all[n % 5]);
+      } catch (const Hung&) {  // it was ended
+      }
+    }
+  }
+  int port_;
+  std::atomic<std::uint64_t> connections_{0};
+  std::jthread thread_;
+};
+
+// The latency of a good proxy without and with attackers beside it.
+void beside_attackers(const Options& o, Target& target, double rate) {
+  const auto measured = [&](const char* what) {
+    const auto r = all_threads(o, target.port(),
+                               [&](Driver& d, int) { return d.open_loop(rate / o.threads, o.seconds); });
+    auto latency = r.latency_ms;
+    std::printf("%-28s %9.0f/s  p50 %.2f  p99 %.2f  p99.9 %.2f ms  broken %llu  resident %.1f MB\n", what,
+                rate, quantile(latency, 0.5), quantile(latency, 0.99), quantile(latency, 0.999),
+                static_cast<unsigned long long>(r.broken), target.resident_kb() / 1024);
+  };
+  measured("a good proxy alone");
+  std::uint64_t attacks = 0;
+  {
+    Attackers attackers(target.port());
+    measured("... with attackers beside it");
+    attacks = attackers.connections();
+  }
+  std::printf("%llu connections attacked\n", static_cast<unsigned long long>(attacks));
+}
+
 boost::json::object gateway_config() {
   std::vector<std::string> hosts;
   for (int i = 0; i < 8; ++i) hosts.push_back(target("s-" + std::to_string(i), 9100 + i));
@@ -327,6 +399,7 @@
   Options o;
   o.threads = std::max(1, static_cast<int>(std::thread::hardware_concurrency()) - 1);
   std::string http2_echo = "build/http2_echo", grpc_echo = "build/grpc_echo", only;
+  double attack_rate = 0;
   CLI::App app{"The external processor beside a bare nghttp2 echo and a grpc++ echo"};
   app.add_option("--program", o.program);
   app.add_option("--http2-echo", http2_echo);
@@ -337,6 +410,8 @@
   app.add_option("--in-flight", o.in_flight, "calls of each thread at saturation");
   app.add_option("--streams", o.streams, "left open to measure memory");
   app.add_option("--only", only, "processor, http2 or grpc");
+  app.add_option("--attackers-beside", attack_rate,
+                 "only this: a good proxy at this rate, without and with attackers beside it");
   CLI11_PARSE(app, argc, argv);
 
   const auto folder =
@@ -354,6 +429,11 @@
   const auto echo = [&](const std::string& program) {
     return std::make_unique<Target>(std::vector<std::string>{program}, std::vector<std::string>{}, "echo");
   };
+  if (attack_rate > 0) {
+    beside_attackers(o, *processor(), attack_rate);
+    std::filesystem::remove_all(folder);
+    return 0;
+  }
   using Make = std::function<std::unique_ptr<Target>()>;
   std::vector<std::pair<std::string, Make>> targets{{"processor", processor},
                                                     {"http2", [&] { return echo(http2_echo); }}};
--- a/stand_ins/program.h
+++ b/stand_ins/program.h
@@ -34,6 +34,8 @@
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive whoever scripts it
       ::dup2(out[1], 2);
+      ::close_range(3, ~0U,
+                    0);  // sockets of this process: their ends would not be seen while the child lives
       ::execve(argv[0], argv.data(), env.data());
       ::_exit(127);
     }
--- a/stand_ins/proxy/proxy.h
+++ b/stand_ins/proxy/proxy.h
@@ -23,10 +23,12 @@
 //   silent          forwards, and never tells how that ended
 //   twice           tells it twice
 //   elsewhere       sends the request to `other`, and says so
+//   stubborn        repeats a request with a bad answer though it was told not to
 struct ProxyOptions {
-  int processor = 0;  // its port
-  int tries = 3;      // of one request, while the answers are bad and the processor does not forbid it
-  std::string other;  // for `elsewhere`
+  int processor = 0;       // its port
+  int tries = 3;           // of one request, while the answers are bad and the processor does not forbid it
+  std::string other;       // for `elsewhere`
+  bool ask_again = false;  // a call that breaks without a decision is made again, as one more try
 };
 
 // Counted here, apart from the processor.
--- a/tests/extproc_test.cpp
+++ b/tests/extproc_test.cpp
@@ -182,6 +182,53 @@
   EXPECT_EQ(said(s), "f:3: no plan 'gold'; there are team, tiny");
 }
 
+TEST(Messages, UnknownFieldsAreSkippedAndTheLastOfAOneofHolds) {
+  pb::ProcessingRequest m;
+  ASSERT_TRUE(m.ParseFromString(request_headers({{"a", "1"}, {"b", ""}})));
+  const std::string known = m.SerializeAsString();
+  // Field 8 (metadata_context) with bytes, field 100 with a varint, 101 with eight bytes, 102 with four.
+  const std::string unknown = std::string("\x42\x03zzz", 5) + std::string("\xa0\x06\x07", 3) +
+                              std::string("\xa9\x06") + std::string(8, 'x') + std::string("\xb5\x06") +
+                              "1234";
+  Message read;
+  ASSERT_TRUE(read_message(unknown + known + unknown, read));
+  EXPECT_EQ(read.part, Message::kRequestHeaders);
+  ASSERT_EQ(read.headers.size(), 2u);
+  EXPECT_EQ(read.headers[0].name, "a");
+  EXPECT_EQ(read.headers[0].value, "1");
+  EXPECT_EQ(read.headers[1].value, "");
+  EXPECT_TRUE(read.end_of_stream);
+  m.Clear();
+  m.mutable_response_body()->set_body("xyz");
+  ASSERT_TRUE(read_message(known + m.SerializeAsString(), read));
+  EXPECT_EQ(read.part, Message::kResponseBody);
+  EXPECT_EQ(read.body, "xyz");
+  EXPECT_FALSE(read.end_of_stream);
+  // A value as text, as older proxies send it, and a field of another type than it should have.
+  m.Clear();
+  auto* h = m.mutable_request_headers()->mutable_headers()->add_headers();
+  h->set_key("k");
+  h->set_value("text");
+  ASSERT_TRUE(read_message(m.SerializeAsString(), read));
+  EXPECT_EQ(read.headers.at(0).value, "text");
+  ASSERT_TRUE(read_message(std::string("\x10\x05", 2), read));  // field 2 as a number
+  EXPECT_EQ(read.headers.size(), 0u);
+}
+
+TEST(Messages, WhatIsCutAnywhereIsNoMessageOrAShorterOne) {
+  const std::string whole = response_headers({{":status", "200"}, {"x", std::string(300, 'v')}},
+                                             {{"response.code_details", "via_upstream"}});
+  Message read;
+  ASSERT_TRUE(read_message(whole, read));
+  EXPECT_EQ(read.code_details, "via_upstream");
+  std::size_t good = 0;
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    const std::string cut = whole.substr(0, n);  // of its own, so that a read past its end shows
+    good += read_message(cut, read);
+  }
+  EXPECT_LE(good, 3u);  // between two fields at most
+}
+
 // ---- ends ----
 
 TEST(Outcomes, ReportsAreReadAsTheTableHasThem) {
@@ -352,6 +399,25 @@
   }
 }
 
+TEST(Gone, AHalfCloseEndsTheCallAndWhatItAskedFor) {
+  for (int point = 0; point < 4; ++point) {
+    Bench b(marked());
+    auto& c = b.open(true);
+    if (point > 0) c.events->on_message(b.now, request_headers(Bench::headers({}, "pay", "id")));
+    if (point > 1) c.call.flush();
+    if (point > 2) b.report(c, 200);
+    c.events->on_half_closed(b.now);
+    ASSERT_TRUE(c.call.status) << point;
+    EXPECT_EQ(c.call.status->code, Code::kOk);
+    EXPECT_EQ(b.engine.held(), 0u) << point;
+    EXPECT_EQ(b.totals().unknown, point == 2 ? 1u : 0u);
+    // A decision that never left costs nothing and may be asked for again.
+    const auto again = b.ask(kSecond, "pay", "id").call.decision();
+    EXPECT_EQ(again.endpoint.empty(), point == 0 || point > 1) << point;
+    b.expect_empty();
+  }
+}
+
 TEST(Gone, UnitsAreTakenExactlyWhenTheRequestMayHaveGoneOn) {
   const auto room = [](bool held) {
     Bench b;
