An id used anew lets neither of its requests be repeated

A proxy that lets clients choose x-request-id could get a second host for an unsafe request: a later safe request under the same id, or one whose decision never left, took the earlier one's place in what is remembered, and a repeat of the first found that. Now a request under an id that is still remembered is not repeated, nor is a call of another class than the one remembered.

--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -139,6 +139,8 @@
     if (!fresh) {
       r.shared = true;
       if (Record* other = find(it->second)) other->shared = true;
+    } else if (over_.contains(r.known_as)) {  // nor of one that is over and a later one
+      r.shared = true;
     }
   }
   engine::Ask ask{mapped.request, mapped.wait, seed_ ^ id,
@@ -177,12 +179,18 @@
 void Processor::ask_again(Ms now, Exchange& exchange, const Mapped& mapped) {
   const std::string known_as(mapped.id);
   const auto open = known_as.empty() ? by_id_.end() : by_id_.find(known_as);
-  if (open != by_id_.end()) return fetch(now, exchange, records_.at(open->second));
+  const Verdict not_unique{Verdict::kFailed, 503, 14, 0, "cometfold_id_not_unique"};
+  if (open != by_id_.end()) {
+    Record& r = records_.at(open->second);
+    if (r.class_index != mapped.request.class_index) return tell(exchange, not_unique);
+    return fetch(now, exchange, r);
+  }
   bool allowed = allowed_unknown(mapped);
   Verdict verdict{Verdict::kFailed, 503, 14, 0, "cometfold_first_attempt_not_known"};
   const auto over = known_as.empty() ? over_.end() : over_.find(known_as);
   if (over != over_.end()) {
     const Over& o = *over->second;
+    if (o.class_index != mapped.request.class_index) return tell(exchange, not_unique);
     verdict = o.verdict;
     allowed = o.verdict.kind == Verdict::kUnsent;  // nothing of it ever went out
     if (o.verdict.kind == Verdict::kServed) {
@@ -190,8 +198,13 @@
       verdict = {Verdict::kFailed, 503, 14, 0, "cometfold_already_done"};
     }
   }
-  if (allowed) return ask_anew(now, exchange, mapped);
-  tell(exchange, verdict);
+  if (!allowed) return tell(exchange, verdict);
+  if (over != over_.end()) {  // the same request goes on
+    const auto old = over->second;
+    over_.erase(over);
+    order_.erase(old);
+  }
+  ask_anew(now, exchange, mapped);
 }
 
 // A call that comes again while its request is open.
--- a/tests/extproc_test.cpp
+++ b/tests/extproc_test.cpp
@@ -659,6 +659,20 @@
   b.expect_empty();
 }
 
+// A proxy that lets its clients choose the id: a later request under it must not vouch for an earlier one.
+TEST(Again, AnIdUsedAnewForAnotherRequestLetsNeitherBeRepeated) {
+  for (int how = 0; how < 3; ++how) {
+    Bench b(marked());
+    auto& pay = b.ask({}, "pay", "same");
+    if (how < 2) b.report(pay, 500);
+    auto& other = b.ask({}, how == 1 ? "pay" : "lookup", "same", how == 1);
+    if (how == 0) b.report(other, 200);
+    if (how == 1) b.gone(other);  // its decision never left
+    EXPECT_TRUE(b.ask(kSecond, "pay", "same").call.decision().endpoint.empty()) << how;
+    b.expect_empty();
+  }
+}
+
 TEST(Again, AfterARestartOnlyWhatItsClassCoversEverywhereIsSentAgain) {
   Bench b(marked());  // knows nothing of any earlier attempt
   EXPECT_FALSE(b.ask(kSecond, "lookup", "a").call.decision().endpoint.empty());
