--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -39,7 +39,6 @@
 struct Processor::Over {
   std::string known_as;
   std::uint32_t class_index = 0;
-  bool has_key = false;
   Verdict verdict;
 };
 
@@ -313,7 +312,7 @@
     over_.erase(order_.front().known_as);
     order_.pop_front();
   }
-  order_.push_back({r.known_as, r.class_index, r.has_key, verdict});
+  order_.push_back({r.known_as, r.class_index, verdict});
   if (r.shared) order_.back().verdict = {Verdict::kFailed, 503, 14, 0, "cometfold_id_not_unique"};
   over_.emplace(order_.back().known_as, std::prev(order_.end()));
 }
