--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -2,6 +2,7 @@
 // The module does no I/O and reads no clock: time comes in with each event, randomness from a seed.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -150,6 +151,11 @@
   void on_attempt_end(Ms now, const AttemptEnd& end, Actions& out);
   void on_gone(Ms now, RequestId request, Actions& out);
   void on_timer(Ms now, std::uint64_t token, Actions& out);
+  // Settings that replace those before, between events. Classes and plans keep their numbers: the lists may only
+  // grow. Held requests go on in their class; buckets keep their levels, within the new volumes.
+  void on_settings(Ms now, const Settings& settings);
+  // Hosts that are listed and get nothing now: they leave, or fail most of what they are sent.
+  std::size_t avoided(Ms now) const;
   void on_probe_end(Ms now, HostId host, Ms took_ms, bool ok, const LoadReport& load, Actions& out);
 
  private:
--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -3,6 +3,23 @@
 
 namespace thistlepond {
 
+// Volumes and rates as the settings have them for this customer; levels stay, within the volumes.
+void Control::State::shape(Customer& c) {
+  const auto& p = set.plans[c.plan];
+  const auto fit = [&](TokenBucket& b, double volume, double rate) {
+    b.refill(now);
+    b = {volume, rate, std::min(b.level, volume), now};
+  };
+  const double rate = p.quota_rate / c.spread, volume = p.burst / c.spread;
+  fit(c.parent, volume, rate);
+  fit(c.whole, p.burst, p.quota_rate);
+  fit(c.ceiling, p.ceiling_burst / c.spread, p.ceiling_rate / c.spread);
+  const auto n = static_cast<double>(set.classes.size());
+  c.children.resize(set.classes.size(), Child{{volume, rate / n, volume, now}, 0});
+  for (auto& child : c.children) fit(child.bucket, volume, rate / n);
+  c.allowance = std::min(c.allowance, volume + rate * kTickMs / 1000);
+}
+
 Customer& Control::State::customer_of(const Request& q) {
   const auto& p = set.plans[q.plan_index];
   const double spread = std::clamp(q.spread, 1.0, std::max(1.0, set.gateways));
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -216,13 +216,21 @@
   out.wake(kTickMs, kTickToken);
 }
 
+// What is kept for each class and plan, to the settings' sizes. Refusals stand by plan, then by class: where
+// classes are added they would stand for others, and they are soon learnt anew.
+void Control::State::size_books() {
+  class_ms.resize(set.classes.size(), 0);
+  class_units.resize(set.classes.size(), 1);
+  least_aim = kNoTime;
+  for (auto& c : set.classes) least_aim = std::min(least_aim, c.aim_ms > 0 ? c.aim_ms : c.deadline_ms);
+  if (refusals.size() == set.plans.size() + set.classes.size()) return;
+  refusals.assign(set.plans.size() + set.classes.size(), {});
+  for (auto& [id, h] : hosts) h.fulls.clear();
+}
+
 Control::Control(const Settings& settings, std::uint64_t seed)
     : state_(std::make_unique<State>(settings, seed)) {
-  auto& s = *state_;
-  s.class_ms.assign(s.set.classes.size(), 0);
-  for (auto& c : s.set.classes) s.least_aim = std::min(s.least_aim, c.aim_ms > 0 ? c.aim_ms : c.deadline_ms);
-  s.refusals.resize(s.set.plans.size() + s.set.classes.size());
-  s.class_units.assign(s.set.classes.size(), 1);
+  state_->size_books();
 }
 Control::~Control() = default;
 Control::Control(Control&&) noexcept = default;
@@ -288,6 +296,22 @@
   if (it != s.held.end()) s.due(it->second, out);
 }
 
+void Control::on_settings(Ms now, const Settings& settings) {
+  auto& s = *state_;
+  s.now = now;
+  s.set = settings;
+  s.size_books();
+  for (auto& [id, c] : s.customers) s.shape(c);
+}
+
+std::size_t Control::avoided(Ms now) const {
+  state_->now = now;
+  return static_cast<std::size_t>(
+      std::count_if(state_->hosts.begin(), state_->hosts.end(), [&](const auto& h) {
+        return h.second.listed && (!state_->usable(h.second) || state_->ejected(h.second));
+      }));
+}
+
 void Control::on_probe_end(Ms now, HostId host, Ms, bool ok, const LoadReport& load, Actions&) {
   auto& s = *state_;
   s.now = now;
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -59,6 +59,7 @@
   }
 
   // ---- customers: the paper's buckets at this gateway's slice ----
+  void shape(Customer& c);
   Customer& customer_of(const Request& q);
   bool like_new(Customer& c);
   void lend();
@@ -125,6 +126,7 @@
   void ended(const AttemptEnd& e, Actions& out);
   void list(ListKind kind, std::span<const HostEntry> entries, Actions& out);
   void tick(Actions& out);
+  void size_books();
 };
 
 }  // namespace thistlepond
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -65,7 +65,10 @@
   // other's.
   if (open_identities_.contains(ask.identity) && !mutant(Mutant::kSharesIdentity)) return Taken::kSameId;
   const std::size_t bytes = ask.payload->bytes();
-  if (owed_ >= limits_.open || held_bytes_ + bytes > limits_.bytes) return Taken::kNoRoom;
+  if (owed_ >= limits_.open || held_bytes_ + bytes > limits_.bytes) {
+    ++figures_of(ask.request.class_index).dropped;
+    return Taken::kNoRoom;
+  }
   const RequestId id = ++last_request_;
   Ms expires_at = now + std::max(ask.wait - limits_.margin, 0.0);
   if (stop_at_) expires_at = std::min(expires_at, *stop_at_);
@@ -79,6 +82,7 @@
   r.payload = std::move(ask.payload);
   r.expires_at = expires_at;
   r.identity = ask.identity;
+  r.class_index = ask.request.class_index;
   open_identities_.insert(ask.identity);
   ++owed_;
   if (!mutant(Mutant::kForgetsDeadline)) timers_.push({expires_at, Timer::kExpiry, id});
@@ -93,7 +97,7 @@
   now_ = now;
   const auto it = asked_.find(name);
   if (it == asked_.end() || it->second.answered || mutant(Mutant::kLosesGoneClient)) return;
-  settle(name, [](FrontEnd&, Ticket) {});
+  settle(name, nullptr, [](FrontEnd&, Ticket) {});
   consult(0, [&] { module_.on_gone(now, name, *this); });
   after_module();
 }
@@ -130,11 +134,13 @@
 }
 
 void Engine::refuse(RequestId request, Ms retry_after) {
-  settle(request, [&](FrontEnd& front, Ticket ticket) { front.refused(now_, ticket, retry_after); });
+  settle(request, &ClassFigures::dropped,
+         [&](FrontEnd& front, Ticket ticket) { front.refused(now_, ticket, retry_after); });
 }
 
 void Engine::fail(RequestId request) {
-  settle(request, [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kGivenUp); });
+  settle(request, &ClassFigures::failed,
+         [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kGivenUp); });
 }
 
 void Engine::wake(Ms after, std::uint64_t token) {
@@ -153,7 +159,8 @@
   const auto [request, index] = it->second;
   // A value that comes after the final answer goes nowhere.
   if (outcome == Outcome::kOk) {
-    settle(request, [&](FrontEnd& front, Ticket ticket) { front.served(now, ticket, value); });
+    settle(request, &ClassFigures::passed,
+           [&](FrontEnd& front, Ticket ticket) { front.served(now, ticket, value); });
   }
   end_try(request, index, outcome, load);
   after_module();
@@ -164,11 +171,24 @@
   const auto it = tries_.find(attempt);
   if (it == tries_.end()) return;
   const auto [request, index] = it->second;
-  settle(request, [](FrontEnd&, Ticket) {});
+  settle(request, outcome == Outcome::kOk ? &ClassFigures::passed : &ClassFigures::failed,
+         [](FrontEnd&, Ticket) {});
   end_try(request, index, outcome, load);
   after_module();
 }
 
+ClassFigures& Engine::figures_of(std::uint32_t class_index) {
+  if (class_index >= figures_.size()) figures_.resize(class_index + 1);
+  return figures_[class_index];
+}
+
+void Engine::on_written(AttemptId attempt) {
+  const auto it = tries_.find(attempt);
+  if (it == tries_.end()) return;
+  const auto asked = asked_.find(it->second.first);
+  if (asked != asked_.end()) ++figures_of(asked->second.class_index).tries;
+}
+
 // The one place where an attempt ends. The module is told from the queue: most calls come from inside it.
 void Engine::end_try(RequestId id, std::uint32_t attempt, Outcome outcome, const LoadReport& load) {
   const auto it = asked_.find(id);
@@ -187,7 +207,7 @@
 }
 
 template <class Answer>
-void Engine::settle(RequestId id, Answer&& answer) {
+void Engine::settle(RequestId id, Counter counter, Answer&& answer) {
   const auto it = asked_.find(id);
   if (it == asked_.end()) return;
   if (it->second.answered) {
@@ -198,6 +218,7 @@
   if (!mutant(Mutant::kKeepsIdentity)) open_identities_.erase(it->second.identity);
   --owed_;
   settled_.push_back(id);
+  if (counter) ++(figures_of(it->second.class_index).*counter);
   answer(*it->second.front, it->second.ticket);
 }
 
@@ -261,7 +282,8 @@
     --owed_;
     return forget_if_done(id);
   }
-  settle(id, [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kInternal); });
+  settle(id, &ClassFigures::failed,
+         [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kInternal); });
   consult(0, [&] { module_.on_gone(now_, id, *this); });
 }
 
@@ -288,7 +310,8 @@
   const auto left = asked_.find(id);
   if (left == asked_.end() || now_ < left->second.expires_at) return;
   if (!left->second.answered) note_("settled at its deadline, not by the module", "");
-  settle(id, [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kTimedOut); });
+  settle(id, &ClassFigures::failed,
+         [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kTimedOut); });
 }
 
 void Engine::run_due(Ms now) {
@@ -341,7 +364,8 @@
   }
   std::sort(ids.begin(), ids.end());
   for (const auto id : ids) {
-    settle(id, [&](FrontEnd& front, Ticket ticket) { front.failed(now, ticket, Failure::kStopping); });
+    settle(id, &ClassFigures::failed,
+           [&](FrontEnd& front, Ticket ticket) { front.failed(now, ticket, Failure::kStopping); });
     consult(0, [&] { module_.on_gone(now, id, *this); });
   }
   after_module();
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -115,6 +115,14 @@
   kNoRoom,  // Limits: nothing done
 };
 
+// Counts since the start, of one class.
+struct ClassFigures {
+  std::uint64_t passed = 0;   // served
+  std::uint64_t dropped = 0;  // refused
+  std::uint64_t failed = 0;
+  std::uint64_t tries = 0;  // attempts written whole to hosts
+};
+
 class Engine : private Actions {
  public:
   using Note = std::function<void(std::string_view what, std::string_view detail)>;
@@ -152,6 +160,13 @@
   // whatever has run.
   void settle_all(Ms now);
 
+  // The last byte of an attempt is written. Only counts, so it may come from inside `HostSide::start`.
+  void on_written(AttemptId attempt);
+  // By class number; a class that never had a request may be missing.
+  const std::vector<ClassFigures>& figures() const { return figures_; }
+  // New bounds, for what is taken from now on.
+  void set_limits(const Limits& limits) { limits_ = limits; }
+
   std::size_t owed() const { return owed_; }          // requests without their final answer
   std::size_t held() const { return asked_.size(); }  // and those with attempts still out
   std::size_t held_bytes() const { return held_bytes_; }
@@ -173,6 +188,7 @@
     std::unique_ptr<Payload> payload;
     Ms expires_at = 0;
     std::uint64_t identity = 0;
+    std::uint32_t class_index = 0;
     bool answered = false;  // nothing is owed any more
     std::vector<Try> tries;
     std::size_t out = 0;
@@ -204,8 +220,11 @@
 
   template <class Call>
   void consult(RequestId about, Call&& call);
+  using Counter = std::uint64_t ClassFigures::*;
+  // `counter`: what this answer counts as, or null for none.
   template <class Answer>
-  void settle(RequestId id, Answer&& answer);
+  void settle(RequestId id, Counter counter, Answer&& answer);
+  ClassFigures& figures_of(std::uint32_t class_index);
   void end_try(RequestId id, std::uint32_t attempt, Outcome outcome, const LoadReport& load);
   void after_module();
   void tell_ends();
@@ -233,6 +252,7 @@
   AttemptId last_attempt_ = 0;
   std::size_t held_bytes_ = 0;
   std::size_t owed_ = 0;
+  std::vector<ClassFigures> figures_;  // bounded by the classes that the front ends know
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::optional<Ms> stop_at_;
 };
--- a/src/engine/module.h
+++ b/src/engine/module.h
@@ -38,6 +38,9 @@
   }
   void on_gone(Ms now, RequestId request, Actions& out) override { control_.on_gone(now, request, out); }
   void on_timer(Ms now, std::uint64_t token, Actions& out) override { control_.on_timer(now, token, out); }
+  // Between events only.
+  void on_settings(Ms now, const Settings& settings) { control_.on_settings(now, settings); }
+  std::size_t avoided(Ms now) const { return control_.avoided(now); }
 
  private:
   Control control_;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -80,6 +80,7 @@
   const auto id = ++last_id_;
   const auto link = std::make_shared<resp::ClientLink>(*this, totals_, id, clock_.now());
   connections_.emplace(id, link);
+  if (draining_) link->end_after_next();
   link->start(std::make_unique<TcpStream>(std::move(socket), clock_, *link));
 }
 
@@ -138,6 +139,16 @@
   error_code ignored;
   acceptor_.close(ignored);
   retry_accept_.cancel();
+  end_idle();
+}
+
+void Clients::set_draining(bool on) {
+  draining_ = on;
+  if (!on) return;
+  for (const auto& [id, c] : connections_) c->end_after_next();
+}
+
+void Clients::end_idle() {
   const auto all = connections_;
   for (const auto& [id, c] : all) c->wind_down(clock_.now());
 }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -50,6 +50,11 @@
   std::size_t connections() const { return connections_.size(); }
   void close_all();
 
+  // Drain on demand. While it is on, connections end after their next answer, new ones too.
+  void set_draining(bool on);
+  // Closes those on which nothing is owed; the others end with what is owed.
+  void end_idle();
+
   // Called when a descriptor is needed elsewhere: closes the client that is missed least, if any may go.
   bool make_room();
 
@@ -75,7 +80,7 @@
   boost::asio::steady_timer sweep_timer_;
   std::unordered_map<std::uint64_t, std::shared_ptr<resp::ClientLink>> connections_;
   std::uint64_t last_id_ = 0;
-  bool winding_down_ = false;
+  bool winding_down_ = false, draining_ = false;
 };
 
 }  // namespace thistlepond::net
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -188,6 +188,7 @@
   config.name = text_at(o, "name");
   config.listen = endpoint_of(text_at(o, "listen"), "configuration: 'listen'");
   config.discovery = endpoint_of(text_at(o, "discovery"), "configuration: 'discovery'");
+  if (o.contains("admin")) config.admin = endpoint_of(text_at(o, "admin"), "configuration: 'admin'");
   config.seed = read_seed(text_at(o, "seed"));
   const auto* limits = o.if_contains("limits");
   if (!limits || !limits->is_object())
@@ -245,6 +246,8 @@
   // The environment is this machine's own word on what does not change while the program runs.
   config.name = need_variable(variable, "EDGE_NAME");
   config.listen = endpoint_of(need_variable(variable, "EDGE_LISTEN"), "EDGE_LISTEN");
+  if (const char* admin = variable("EDGE_ADMIN"); admin && *admin)
+    config.admin = endpoint_of(admin, "EDGE_ADMIN");
   return config;
 }
 
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -25,6 +26,7 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> admin;  // where operators call
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <utility>
 
+#include "figures.h"
 #include "log.h"
+#include "numbering.h"
 #include "settings.h"
 
 namespace thistlepond::net {
@@ -94,8 +96,11 @@
       discovery_(io, config_.discovery, config_.seed, *this),
       on_stopped_(std::move(on_stopped)),
       timer_(io),
-      stop_timer_(io) {
+      stop_timer_(io),
+      drain_timer_(io),
+      class_labels_(config_.class_names) {
   hosts_.set_make_room([this] { return clients_.make_room(); });
+  if (config_.admin) admin_ = std::make_unique<AdminServer>(io, static_cast<ops::Operable&>(*this));
   if (config_.own.processor_at) {
     processor_ = std::make_unique<ProcessorServer>(io, clock, engine_, config_, [this] { arm_timer(); });
   }
@@ -106,6 +111,7 @@
   engine_.start(clock_.now());
   apply(config_.known, ListKind::kCached);
   clients_.listen(config_.listen);
+  if (admin_) admin_->listen(*config_.admin);
   if (processor_) processor_->listen();
   discovery_.start(config_.known.version);
 }
@@ -207,7 +213,9 @@
 
 // ---- a new configuration ----
 
+// Danger: nothing may be changed before all of it is known to be good.
 void Gateway::reload(const Config& config) {
+  if (config.settings_text != config_.settings_text) take_settings(config);
   if (config.discovery != config_.discovery) {
     config_.discovery = config.discovery;
     discovery_.move(config.discovery);
@@ -217,10 +225,60 @@
   if (config.own.processor_at.has_value() != (processor_ != nullptr)) {
     log_line("switching the external processor on or off needs a restart");
   }
-  if (config.settings_text != config_.settings_text || config.sockets != config_.sockets ||
-      config.memory_mb != config_.memory_mb || config.listen != config_.listen) {
+  if (config.sockets != config_.sockets || config.memory_mb != config_.memory_mb ||
+      config.listen != config_.listen || config.admin != config_.admin) {
     log_line("the new configuration changes what needs a restart: kept as it was");
   }
+  ++loads_;
+}
+
+// Requests under way keep their class, by its number; commands from now on are read with the new names.
+void Gateway::take_settings(const Config& config) {
+  const auto merged = settings::renumber({config_.class_names, config_.plan_names, config_.settings},
+                                         {config.class_names, config.plan_names, config.settings});
+  config_.settings_text = config.settings_text;
+  config_.settings = merged.settings;
+  config_.class_names = merged.classes;
+  config_.plan_names = merged.plans;
+  config_.max_open = config.max_open;
+  class_labels_.resize(merged.classes.size());
+  for (std::size_t i = 0; i < merged.classes.size(); ++i) {
+    if (!merged.classes[i].empty()) class_labels_[i] = merged.classes[i];
+  }
+  module_.on_settings(clock_.now(), config_.settings);
+  engine_.set_limits(engine_limits(config_));
+  front_.set_names(names_of(config_));
+  log_line("new settings are in use", std::to_string(config.class_names.size()) + " classes, " +
+                                          std::to_string(config.plan_names.size()) + " plans");
+}
+
+// ---- operators ----
+
+bool Gateway::ready() const { return front_.ready() && !draining_ && !engine_.settle_at(); }
+
+std::string Gateway::figures() {
+  return ops::render({.in_progress = engine_.owed(),
+                      .known_hosts = known_.size(),
+                      .skipped_hosts = module_.avoided(clock_.now()),
+                      .loads = loads_,
+                      .load_errors = load_errors_},
+                     class_labels_, engine_.figures());
+}
+
+// New connections go on coming for 0.2 s after the first PING that is turned down, and are served. What idles
+// is closed after that: earlier, requests on their way would cross the close.
+void Gateway::set_draining(bool on) {
+  if (on == draining_) return;
+  draining_ = on;
+  log_line(on ? "draining, as asked" : "taking clients again, as asked");
+  front_.set_draining(on);
+  clients_.set_draining(on);
+  drain_timer_.cancel();
+  if (!on) return;
+  drain_timer_.expires_after(kStillComing);
+  drain_timer_.async_wait([this](error_code error) {
+    if (!error && draining_) clients_.end_idle();
+  });
 }
 
 // ---- the stop ----
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admin_server.h"
 #include "clients.h"
 #include "clock.h"
 #include "config.h"
@@ -23,7 +24,7 @@
 
 namespace thistlepond::net {
 
-class Gateway : private ClientEvents, private HostEvents, private DiscoveryEvents {
+class Gateway : private ClientEvents, private HostEvents, private DiscoveryEvents, private ops::Operable {
  public:
   // `on_stopped` is called once, when all is settled after `stop`.
   Gateway(boost::asio::io_context& io, Clock& clock, Config config, std::function<void()> on_stopped);
@@ -32,8 +33,11 @@
   void start();
   // A planned stop: serves on for as long as clients may still come, then settles all that it has taken.
   void stop();
-  // A new configuration: what it names anew is used from now on, and work in flight goes on.
+  // A new configuration: what it names anew is used from now on, and work in flight goes on. Throws, with
+  // nothing changed, if it can't be taken.
   void reload(const Config& config);
+  // A new configuration that could not be read.
+  void reload_failed() { ++load_errors_; }
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
   // Null if there is none.
   const extproc::Processor* processor() const { return processor_ ? &processor_->processor() : nullptr; }
@@ -47,6 +51,12 @@
                       std::string_view report) override;
   void on_targets(const TargetList& list) override;
 
+  void on_attempt_written(AttemptId attempt) override { engine_.on_written(attempt); }
+  bool ready() const override;
+  std::string figures() override;
+  void set_draining(bool on) override;
+  void take_settings(const Config& config);
+
   std::vector<HostEntry> entries(const TargetList& list);
   void apply(const TargetList& list, ListKind kind);
   void arm_timer();
@@ -73,7 +83,11 @@
     Ms started_at = 0;
   };
   std::map<HostId, Known> known_;
-  boost::asio::steady_timer stop_timer_;
+  boost::asio::steady_timer stop_timer_, drain_timer_;
+  std::unique_ptr<AdminServer> admin_;
+  std::vector<std::string> class_labels_;  // by number; of withdrawn classes too
+  std::uint64_t loads_ = 0, load_errors_ = 0;
+  bool draining_ = false;
 };
 
 // A host's number, from its uid alone: the same at every gateway and after every restart.
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -67,6 +67,7 @@
       gateway.reload(config);
       log_line("configuration read again");
     } catch (const std::exception& bad) {
+      gateway.reload_failed();
       log_line("the new configuration is bad, the old one is kept", bad.what());
     }
   });
--- /dev/null
+++ b/src/ops/calls.cpp
@@ -0,0 +1,23 @@
+#include "calls.h"
+
+namespace thistlepond::ops {
+
+Answer call(Operable& gateway, std::string_view method, std::string_view target) {
+  const auto path = target.substr(0, target.find('?'));
+  const bool read = path == "/_ready" || path == "/_vars";
+  const bool change = path == "/_lameduck/on" || path == "/_lameduck/off";
+  if (!read && !change) {
+    return {404,
+            "no such call: there are GET /_ready, GET /_vars, POST /_lameduck/on, POST /_lameduck/off\n"};
+  }
+  const std::string_view wanted = read ? "GET" : "POST";
+  if (method != wanted) return {405, std::string(path) + " is asked for with " + std::string(wanted) + "\n"};
+  if (path == "/_vars") return {200, gateway.figures()};
+  if (path == "/_ready") {
+    return gateway.ready() ? Answer{200, "ready\n"} : Answer{503, "not ready: it starts, drains or ends\n"};
+  }
+  gateway.set_draining(path == "/_lameduck/on");
+  return {200, path == "/_lameduck/on" ? "draining\n" : "taking clients\n"};
+}
+
+}  // namespace thistlepond::ops
--- /dev/null
+++ b/src/ops/calls.h
@@ -0,0 +1,27 @@
+// The calls of operators: what each asks of the gateway, and the answer. Pure; the bytes are the server's.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace thistlepond::ops {
+
+// What operators can ask of a gateway.
+class Operable {
+ public:
+  virtual ~Operable() = default;
+  virtual bool ready() const = 0;
+  virtual std::string figures() = 0;
+  // Empty it, or take clients again. Asking twice is asking once.
+  virtual void set_draining(bool on) = 0;
+};
+
+struct Answer {
+  int status = 200;  // of HTTP (RFC 9110, section 15)
+  std::string body;
+};
+
+// `target` as in the request line; what follows a question mark is ignored.
+Answer call(Operable& gateway, std::string_view method, std::string_view target);
+
+}  // namespace thistlepond::ops
--- /dev/null
+++ b/src/ops/figures.cpp
@@ -0,0 +1,51 @@
+#include "figures.h"
+
+#include <map>
+#include <string_view>
+
+namespace thistlepond::ops {
+
+namespace {
+
+constexpr std::string_view kPrefix = "edge_edge.";
+
+void line(std::string& out, std::string_view name, std::uint64_t value, char kind) {
+  out += kPrefix;
+  out += name;
+  out += ':';
+  out += std::to_string(value);
+  out += '|';
+  out += kind;
+  out += '\n';
+}
+
+}  // namespace
+
+std::string render(const Figures& figures, std::span<const std::string> labels,
+                   std::span<const engine::ClassFigures> classes) {
+  std::map<std::string_view, engine::ClassFigures> sums;
+  for (std::size_t i = 0; i < labels.size(); ++i) {
+    auto& sum = sums[labels[i]];
+    if (i >= classes.size()) continue;
+    sum.passed += classes[i].passed;
+    sum.dropped += classes[i].dropped;
+    sum.failed += classes[i].failed;
+    sum.tries += classes[i].tries;
+  }
+  std::string out;
+  for (const auto& [label, sum] : sums) {
+    const std::string at = "handled." + std::string(label) + '.';
+    line(out, at + "passed", sum.passed, 'c');
+    line(out, at + "dropped", sum.dropped, 'c');
+    line(out, at + "bad_gateway", sum.failed, 'c');
+    line(out, at + "upstream_tries", sum.tries, 'c');
+  }
+  line(out, "in_progress", figures.in_progress, 'g');
+  line(out, "known_hosts", figures.known_hosts, 'g');
+  line(out, "skipped_hosts", figures.skipped_hosts, 'g');
+  line(out, "loads", figures.loads, 'c');
+  line(out, "load_errors", figures.load_errors, 'c');
+  return out;
+}
+
+}  // namespace thistlepond::ops
--- /dev/null
+++ b/src/ops/figures.h
@@ -0,0 +1,28 @@
+// The figures that operators fetch, as statsd lines. Pure.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "engine.h"
+
+namespace thistlepond::ops {
+
+struct Figures {
+  std::size_t in_progress = 0;    // requests taken and not yet ended
+  std::size_t known_hosts = 0;    // in the list
+  std::size_t skipped_hosts = 0;  // listed, and avoided now
+  std::uint64_t loads = 0;        // files taken at SIGHUP
+  std::uint64_t load_errors = 0;  // and turned down
+};
+
+// One line a figure: `NAME:VALUE|c` for a count since the start, `NAME:VALUE|g` for what holds now. `labels`
+// names the classes by number; classes of one name, as a class that changed its kind leaves them, are one
+// line. A class beyond `classes` has had no request yet.
+std::string render(const Figures& figures, std::span<const std::string> labels,
+                   std::span<const engine::ClassFigures> classes);
+
+}  // namespace thistlepond::ops
--- a/src/resp/client_link.h
+++ b/src/resp/client_link.h
@@ -68,6 +68,8 @@
   // Larger: used later.
   std::uint64_t used() const { return used_; }
 
+  // Closes after the next answer, or at once what is owed: what idles stays, as a request may be on its way.
+  void end_after_next() { last_ = true; }
   // Nobody new from here on: closes as soon as nothing is owed.
   void wind_down(Ms now);
   // Closes what says nothing, half of something or nothing more. To be called a few times a second.
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -30,7 +30,7 @@
 bool read_index(const std::vector<std::string>& names, std::string_view name, std::uint32_t& index) {
   const auto it = std::find(names.begin(), names.end(), name);
   index = static_cast<std::uint32_t>(it - names.begin());
-  return it != names.end();
+  return it != names.end() && !name.empty();  // a name that is withdrawn leaves an empty one
 }
 
 // The names that a request's list may hold, as bits; 0 for one that is not known here and just passed on.
@@ -101,6 +101,8 @@
       reply = "-ERR wrong number of arguments for 'PING'\r\n";
     } else if (!ready_) {
       reply = "-LOADING no host is known yet\r\n";
+    } else if (draining_) {
+      reply = "-DRAINING no new clients\r\n";
     } else if (words.size() == 2) {
       append_bulk(reply, words[1].text);
     } else {
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "client_link.h"
@@ -44,6 +45,11 @@
   void on_sent(std::uint64_t identity) { unsent_.erase(identity); }
   // PING is answered with PONG from here on.
   void set_ready() { ready_ = true; }
+  bool ready() const { return ready_; }
+  // While it is set, PING is answered with an error: no more clients are wanted.
+  void set_draining(bool on) { draining_ = on; }
+  // Of commands from now on.
+  void set_names(Names names) { names_ = std::move(names); }
 
   void served(Ms now, Ticket ticket, std::string_view value) override;
   void refused(Ms now, Ticket ticket, Ms retry_after) override;
@@ -58,7 +64,7 @@
   engine::Engine& engine_;
   Replies& replies_;
   Names names_;
-  bool ready_ = false;
+  bool ready_ = false, draining_ = false;
   std::unordered_set<std::uint64_t> unsent_;  // bounded by the answers that clients have not read
 };
 
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -172,6 +172,7 @@
         return stream_->later();
       }
       written_ += w.bytes;
+      if (whole() && attempt_ != 0) owner_.events_.on_attempt_written(attempt_);
     }
   }
 
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -34,6 +34,8 @@
   // with `kOk`; `report` is the host's load report as it came, or empty. Both last until the call returns.
   virtual void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                               std::string_view report) = 0;
+  // Its last byte is written. May come from inside `HostPool::start`, so it must not call back.
+  virtual void on_attempt_written(AttemptId) {}
 };
 
 struct PoolLimits {
--- /dev/null
+++ b/src/settings/numbering.cpp
@@ -0,0 +1,73 @@
+#include "numbering.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace thistlepond::settings {
+
+namespace {
+
+constexpr std::size_t kMost = 1024;
+
+bool same_right(const ClassSettings& a, const ClassSettings& b) {
+  return a.repeat == b.repeat && a.group == b.group && a.key_ttl_ms == b.key_ttl_ms;
+}
+
+bool same_right(const PlanSettings&, const PlanSettings&) { return true; }
+
+bool same(const ClassSettings& a, const ClassSettings& b) {
+  return same_right(a, b) && a.aim_ms == b.aim_ms && a.deadline_ms == b.deadline_ms && a.worth == b.worth &&
+         a.late_share == b.late_share;
+}
+
+bool same(const PlanSettings& a, const PlanSettings& b) {
+  return a.quota_rate == b.quota_rate && a.burst == b.burst && a.pays == b.pays &&
+         a.overrun_cost == b.overrun_cost && a.beyond_earns == b.beyond_earns &&
+         a.ceiling_rate == b.ceiling_rate && a.ceiling_burst == b.ceiling_burst &&
+         a.ceiling_slack == b.ceiling_slack && a.open_limit == b.open_limit;
+}
+
+template <class Item>
+void place(const std::vector<std::string>& old_names, const std::vector<Item>& old_items,
+           const std::vector<std::string>& names, const std::vector<Item>& items,
+           std::vector<std::string>& placed_names, std::vector<Item>& placed, const char* what) {
+  placed_names.assign(old_names.size(), "");
+  placed = old_items;
+  const auto number_of = [&](std::size_t i) -> std::optional<std::size_t> {
+    for (std::size_t n = 0; n < old_names.size(); ++n) {
+      if (old_names[n] == names[i] && same_right(old_items[n], items[i])) return n;
+    }
+    for (std::size_t n = 0; n < old_names.size(); ++n) {
+      if (old_names[n].empty() && placed_names[n].empty() && same(old_items[n], items[i])) return n;
+    }
+    return {};
+  };
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const auto n = number_of(i);
+    if (n) {
+      placed_names[*n] = names[i];
+      placed[*n] = items[i];
+    } else {
+      placed_names.push_back(names[i]);
+      placed.push_back(items[i]);
+    }
+  }
+  if (placed.size() > kMost) {
+    throw TooMany(std::string("settings: more than 1024 ") + what +
+                  " since the start, counting those withdrawn: a restart is needed");
+  }
+}
+
+}  // namespace
+
+Numbered renumber(const Numbered& before, const Numbered& fresh) {
+  Numbered merged;
+  merged.settings = fresh.settings;
+  place(before.classes, before.settings.classes, fresh.classes, fresh.settings.classes, merged.classes,
+        merged.settings.classes, "classes");
+  place(before.plans, before.settings.plans, fresh.plans, fresh.settings.plans, merged.plans,
+        merged.settings.plans, "plans");
+  return merged;
+}
+
+}  // namespace thistlepond::settings
