--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -111,7 +111,10 @@
   engine_.start(clock_.now());
   apply(config_.known, ListKind::kCached);
   clients_.listen(config_.listen);
-  if (admin_) admin_->listen(*config_.admin);
+  if (admin_) {
+    admin_->listen(*config_.admin);
+    log_line("operators call at", to_text(admin_->address()));
+  }
   if (processor_) processor_->listen();
   discovery_.start(config_.known.version);
 }
--- a/stand_ins/program.h
+++ b/stand_ins/program.h
@@ -97,9 +97,11 @@
                {"EDGE_NAME=n0", "EDGE_LISTEN=127.0.0.1:0",
                 "EDGE_DISCOVERY=" + std::string(conf.at("discovery").as_string()),
                 "EDGE_CONFIG=" + path_.string()}),
+        admin_port_(conf.contains("admin") ? child_.port_after("operators call at") : 0),
         port_(child_.port_after("ready: n0")) {}
   ~Program() { std::filesystem::remove(path_); }
   int port() const { return port_; }
+  int admin_port() const { return admin_port_; }  // 0: there is none
   pid_t pid() const { return child_.pid(); }
   Peer client() const { return Peer::connect(port_); }
   void terminate() { child_.signal(SIGTERM); }
@@ -125,7 +127,7 @@
 
   std::filesystem::path path_;
   Child child_;
-  int port_;
+  int admin_port_, port_;
 };
 
 }  // namespace thistlepond::stand_ins
