--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -136,6 +136,22 @@
   virtual void note(std::string_view text) = 0;
 };
 
+// What a gateway knows of a customer, for the one that takes its place.
+struct CustomerState {
+  CustomerId id = 0;
+  std::uint32_t plan = 0;
+  double spread = 1;
+  double parent = 0, whole = 0, ceiling = 0;  // levels of its buckets, in units; negative: in debt
+  std::vector<double> children;               // levels, by class
+  double demand = 0;                          // units asked for of late
+  Ms unseen = 0;                              // since its last request
+};
+
+struct HandedState {
+  Ms age = 0;  // of the gateway that hands over
+  std::vector<CustomerState> customers;
+};
+
 // One gateway's decisions. Events go in, in order of time; actions come out through the sink.
 class Control {
  public:
@@ -151,9 +167,14 @@
   void on_attempt_end(Ms now, const AttemptEnd& end, Actions& out);
   void on_gone(Ms now, RequestId request, Actions& out);
   void on_timer(Ms now, std::uint64_t token, Actions& out);
-  // Settings that replace those before, between events. Classes and plans keep their numbers: the lists may only
-  // grow. Held requests go on in their class; buckets keep their levels, within the new volumes.
+  // Settings that replace those before, between events. Classes and plans keep their numbers: the lists may
+  // only grow. Held requests go on in their class; buckets keep their levels, within the new volumes.
   void on_settings(Ms now, const Settings& settings);
+  // All customers' levels, less a part that is kept for what still comes here. Nothing is refilled here from
+  // now on: both together give no more than one would.
+  HandedState hand_over(Ms now);
+  // Before the first request. A plan or class that is not in the settings any more is left out.
+  void take_over(Ms now, const HandedState& state);
   // Hosts that are listed and get nothing now: they leave, or fail most of what they are sent.
   std::size_t avoided(Ms now) const;
   void on_probe_end(Ms now, HostId host, Ms took_ms, bool ok, const LoadReport& load, Actions& out);
--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -10,10 +10,10 @@
     b.refill(now);
     b = {volume, rate, std::min(b.level, volume), now};
   };
-  const double rate = p.quota_rate / c.spread, volume = p.burst / c.spread;
+  const double rate = refills() * p.quota_rate / c.spread, volume = p.burst / c.spread;
   fit(c.parent, volume, rate);
-  fit(c.whole, p.burst, p.quota_rate);
-  fit(c.ceiling, p.ceiling_burst / c.spread, p.ceiling_rate / c.spread);
+  fit(c.whole, p.burst, refills() * p.quota_rate);
+  fit(c.ceiling, p.ceiling_burst / c.spread, refills() * p.ceiling_rate / c.spread);
   const auto n = static_cast<double>(set.classes.size());
   c.children.resize(set.classes.size(), Child{{volume, rate / n, volume, now}, 0});
   for (auto& child : c.children) fit(child.bucket, volume, rate / n);
@@ -28,22 +28,62 @@
   if (fresh) {
     c.plan = q.plan_index;
     c.spread = spread;
-    const double rate = p.quota_rate / spread;
-    const double volume = p.burst / spread;
-    c.parent = {volume, rate, volume, now};
-    c.allowance = volume;
-    c.whole = {p.burst, p.quota_rate, p.burst, now};
+    const double rate = refills() * p.quota_rate / spread;
+    const double volume = p.burst / spread, part = handed ? kKeptShare : 1;
+    c.parent = {volume, rate, volume * part, now};
+    c.allowance = volume * part;
+    c.whole = {p.burst, refills() * p.quota_rate, p.burst * part, now};
     const auto n = static_cast<double>(set.classes.size());
-    c.children.assign(set.classes.size(), Child{{volume, rate / n, volume, now}, 0});
+    c.children.assign(set.classes.size(), Child{{volume, rate / n, volume * part, now}, 0});
     // A ceiling's slice starts empty at each start of this gateway: it may have given all before it fell.
     const double top = p.ceiling_burst / spread;
-    const double since = p.ceiling_rate / spread * (now - born) / 1000;
-    c.ceiling = {top, p.ceiling_rate / spread, std::min(top, since), now};
+    const double since = refills() * p.ceiling_rate / spread * (now - born) / 1000;
+    c.ceiling = {top, refills() * p.ceiling_rate / spread, std::min(top, since), now};
   }
   c.seen = now;
   return c;
 }
 
+// Danger: two gateways that each think they have the slice would give it twice. Levels are divided, debts go
+// over whole, and only one of the two refills.
+HandedState Control::State::hand_over() {
+  HandedState all{now - born, {}};
+  const auto divide = [&](TokenBucket& b) {
+    b.refill(now);
+    const double kept = std::max(b.level, 0.0) * kKeptShare;
+    const double given = b.level - kept;
+    b.level = kept;
+    return given;
+  };
+  for (auto& [id, c] : customers) {
+    CustomerState s{id, c.plan,   c.spread,    divide(c.parent), divide(c.whole), divide(c.ceiling),
+                    {}, c.demand, now - c.seen};
+    for (auto& child : c.children) s.children.push_back(divide(child.bucket));
+    all.customers.push_back(std::move(s));
+  }
+  handed = true;
+  for (auto& [id, c] : customers) shape(c);
+  return all;
+}
+
+void Control::State::take_over(const HandedState& from) {
+  born = std::min(born, now - finite(from.age, 0));
+  for (const auto& s : from.customers) {
+    if (s.plan >= set.plans.size()) continue;
+    Customer& c = customer_of({.plan_index = s.plan, .customer = s.id, .spread = finite(s.spread, 1, 1)});
+    const auto fill = [](TokenBucket& b, double level) {
+      b.level = std::min(b.volume, finite(level, 0, -kNoTime));
+    };
+    fill(c.parent, s.parent), fill(c.whole, s.whole), fill(c.ceiling, s.ceiling);
+    for (std::size_t i = 0; i < std::min(c.children.size(), s.children.size()); ++i) {
+      fill(c.children[i].bucket, s.children[i]);
+    }
+    c.allowance = std::max(c.parent.level, 0.0);
+    c.demand = finite(s.demand, 0);
+    c.seen = now - finite(s.unseen, 0);
+  }
+}
+
 // Danger: customers that come once would fill the memory for a minute each. One with full buckets, of whom
 // nothing is remembered, is what it would be if it came anew.
 bool Control::State::like_new(Customer& c) {
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -304,6 +304,16 @@
   for (auto& [id, c] : s.customers) s.shape(c);
 }
 
+HandedState Control::hand_over(Ms now) {
+  state_->now = now;
+  return state_->hand_over();
+}
+
+void Control::take_over(Ms now, const HandedState& state) {
+  state_->now = now;
+  state_->take_over(state);
+}
+
 std::size_t Control::avoided(Ms now) const {
   state_->now = now;
   return static_cast<std::size_t>(
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -16,6 +16,7 @@
   Settings set;
   std::mt19937_64 random;
   Ms born = 0;
+  bool handed = false;  // to a gateway that takes this one's place
   Ms now = 0;
   std::map<CustomerId, Customer> customers;
   std::map<HostId, Host> hosts;
@@ -60,6 +61,9 @@
 
   // ---- customers: the paper's buckets at this gateway's slice ----
   void shape(Customer& c);
+  HandedState hand_over();
+  void take_over(const HandedState& from);
+  double refills() const { return handed ? 0 : 1; }
   Customer& customer_of(const Request& q);
   bool like_new(Customer& c);
   void lend();
--- a/src/control/tuning.h
+++ b/src/control/tuning.h
@@ -81,4 +81,7 @@
 // Keeps `share` of an old mean after `dt`, for a memory of `span`.
 inline double faded(Ms dt, Ms span) { return std::exp(-std::max(dt, 0.0) / span); }
 
+inline constexpr double kKeptShare =
+    0.2;  // of each level, when another gateway takes over: connections end after their next answer
+
 }  // namespace thistlepond::detail
--- a/src/engine/module.h
+++ b/src/engine/module.h
@@ -40,6 +40,8 @@
   void on_timer(Ms now, std::uint64_t token, Actions& out) override { control_.on_timer(now, token, out); }
   // Between events only.
   void on_settings(Ms now, const Settings& settings) { control_.on_settings(now, settings); }
+  HandedState hand_over(Ms now) { return control_.hand_over(now); }
+  void take_over(Ms now, const HandedState& state) { control_.take_over(now, state); }
   std::size_t avoided(Ms now) const { return control_.avoided(now); }
 
  private:
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,5 +1,8 @@
 #include "clients.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -35,11 +38,38 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen(1024);
+  begin();
+}
+
+void Clients::adopt(int listening) {
+  sockaddr_storage at{};
+  socklen_t size = sizeof at;
+  if (::getsockname(listening, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
+    throw boost::system::system_error(errno, boost::system::system_category(), "the socket taken over");
+  }
+  acceptor_.assign(at.ss_family == AF_INET6 ? tcp::v6() : tcp::v4(), listening);
+}
+
+void Clients::begin() {
+  begun_ = true;
   acceptor_.non_blocking(true);
   accept();
   sweep();
 }
 
+void Clients::leave_queue() {
+  winding_down_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);  // the other process's descriptor keeps the socket and its queue
+  retry_accept_.cancel();
+}
+
+void Clients::set_limits(const ClientLimits& limits) {
+  most_ = limits.connections;
+  totals_.most_unsent = limits.unsent;
+  totals_.most_buffered = limits.buffered;
+}
+
 void Clients::accept() {
   if (winding_down_ || !acceptor_.is_open()) return;
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
@@ -128,7 +158,7 @@
 void Clients::wind_down() {
   if (winding_down_) return;
   // What the kernel has accepted already is taken: it is served, not reset with the listener.
-  while (acceptor_.is_open() && connections_.size() < most_) {
+  while (begun_ && acceptor_.is_open() && connections_.size() < most_) {
     error_code error;
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -40,6 +40,14 @@
   ~Clients() override;
 
   void listen(const boost::asio::ip::tcp::endpoint& at);
+  // The same with a socket that listens already; takes it. Nobody is accepted before `begin`.
+  // Throws boost::system::system_error.
+  void adopt(int listening);
+  void begin();
+  int listening_socket() { return acceptor_.native_handle(); }
+  // Accepts nobody any more and leaves the queue to another process that has the same socket.
+  void leave_queue();
+  void set_limits(const ClientLimits& limits);
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   void answer(Ms now, Ticket ticket, std::string_view reply) override;
@@ -80,7 +88,7 @@
   boost::asio::steady_timer sweep_timer_;
   std::unordered_map<std::uint64_t, std::shared_ptr<resp::ClientLink>> connections_;
   std::uint64_t last_id_ = 0;
-  bool winding_down_ = false, draining_ = false;
+  bool begun_ = false, winding_down_ = false, draining_ = false;
 };
 
 }  // namespace thistlepond::net
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,6 +1,7 @@
 #include "config.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <fstream>
 #include <iterator>
@@ -234,8 +235,21 @@
   return read_config(value);
 }
 
+// Both processes of an upgrade have the same name, address and directory.
+std::string handover_path(const Variable& variable, const Config& config) {
+  const char* directory = variable("TMPDIR");
+  if (!directory || !*directory) return {};
+  std::string name =
+      config.name + "-" + config.listen.address().to_string() + "-" + std::to_string(config.listen.port());
+  for (char& c : name) {
+    if (!std::isalnum(static_cast<unsigned char>(c)) && c != '-' && c != '.') c = '_';
+  }
+  return std::string(directory) + "/cometfold-" + name + ".handover";
+}
+
 Config load_config(const Variable& variable) {
   Config config = reload_config(variable);
+  config.handover = handover_path(variable, config);
   // At the start the file says the same.
   config.discovery = endpoint_of(need_variable(variable, "EDGE_DISCOVERY"), "EDGE_DISCOVERY");
   return config;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -40,6 +40,7 @@
   Ms connect_timeout_ms = 0;
   std::size_t max_open = 0;
   OwnSettings own;
+  std::string handover;  // where a second process of this gateway finds the first; empty: nowhere
 };
 
 // Throws ConfigError with one plain line.
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "figures.h"
+#include "handover_state.h"
 #include "log.h"
 #include "numbering.h"
 #include "settings.h"
@@ -26,6 +27,11 @@
 constexpr Ms kLongestDeadline = 3000;
 constexpr Ms kSettleMargin = 450;
 constexpr Ms kLastBytes = 150;  // for clients to read their last answers
+constexpr auto kTellWithin =
+    std::chrono::milliseconds(1000);  // for discovery, before a second process is ready
+constexpr auto kIdleGone =
+    std::chrono::milliseconds(2600);  // what idles has been closed by then, or is half a command
+constexpr auto kListenAgain = std::chrono::milliseconds(50);
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 std::string to_text(const asio::ip::tcp::endpoint& at) {
@@ -98,9 +104,19 @@
       timer_(io),
       stop_timer_(io),
       drain_timer_(io),
+      ready_timer_(io),
+      proxies_timer_(io),
       class_labels_(config_.class_names) {
   hosts_.set_make_room([this] { return clients_.make_room(); });
   if (config_.admin) admin_ = std::make_unique<AdminServer>(io, static_cast<ops::Operable&>(*this));
+  if (!config_.handover.empty()) {
+    predecessor_ = Predecessor::find(io, config_.handover);
+    handover_ = std::make_unique<Handover>(
+        io, config_.handover,
+        Handover::Events{.listening_socket = [this] { return clients_.listening_socket(); },
+                         .came = [this] { share_limits(true); },
+                         .left = [this] { share_limits(false); }});
+  }
   if (config_.own.processor_at) {
     processor_ = std::make_unique<ProcessorServer>(io, clock, engine_, config_, [this] { arm_timer(); });
   }
@@ -110,12 +126,25 @@
 void Gateway::start() {
   engine_.start(clock_.now());
   apply(config_.known, ListKind::kCached);
-  clients_.listen(config_.listen);
+  if (predecessor_) {
+    handed_to_ = true;
+    clients_.adopt(predecessor_->take_listening_socket().release());
+    share_limits(true);
+    predecessor_->listen_to({.begin = [this](const std::string& state) { take_over(state); },
+                             .gone = [this] { on_predecessor_gone(); }});
+    log_line("another process serves here: this one takes over when that ends");
+  } else {
+    clients_.listen(config_.listen);
+    open_to_clients();
+  }
+  ready_timer_.expires_after(kTellWithin);
+  ready_timer_.async_wait([this](error_code error) {
+    if (!error) told_ = true;
+  });
   if (admin_) {
     admin_->listen(*config_.admin);
     log_line("operators call at", to_text(admin_->address()));
   }
-  if (processor_) processor_->listen();
   discovery_.start(config_.known.version);
 }
 
@@ -170,6 +199,7 @@
 }
 
 void Gateway::on_targets(const TargetList& list) {
+  told_ = true;
   apply(list, list.whole ? ListKind::kWhole : ListKind::kChanges);
 }
 
@@ -255,9 +285,78 @@
                                           std::to_string(config.plan_names.size()) + " plans");
 }
 
+// ---- an upgrade ----
+
+void Gateway::share_limits(bool shared) {
+  Config mine = config_;
+  if (shared) {
+    mine.sockets /= 2;
+    mine.memory_mb = std::max<std::size_t>(1, mine.memory_mb / 2);
+  }
+  clients_.set_limits(client_limits(mine));
+  hosts_.pool().set_limits(pool_limits(mine));
+  engine_.set_limits(engine_limits(mine));
+}
+
+// From here on this process is the one that another would take over from.
+void Gateway::open_to_clients() {
+  open_ = true;
+  if (handover_) handover_->listen();
+  if (processor_) open_to_proxies();
+}
+
+// Danger: the process before may hold the address for a moment yet; proxies call again.
+void Gateway::open_to_proxies() {
+  try {
+    processor_->listen();
+  } catch (const boost::system::system_error& error) {
+    if (error.code() != asio::error::address_in_use || !handed_to_) throw;
+    proxies_timer_.expires_after(kListenAgain);
+    proxies_timer_.async_wait([this](error_code stopped) {
+      if (!stopped) open_to_proxies();
+    });
+  }
+}
+
+void Gateway::take_over(const std::string& state) {
+  try {
+    const auto handed = ops::decode(state, {config_.class_names, config_.plan_names});
+    module_.take_over(clock_.now(), handed);
+    log_line("taken over", std::to_string(handed.customers.size()) + " customers");
+  } catch (const ops::HandoverError& error) {
+    log_line("taken over without state", error.what());  // lawful: ceilings start empty
+  }
+  clients_.begin();
+  open_to_clients();
+}
+
+void Gateway::on_predecessor_gone() {
+  asio::post(timer_.get_executor(), [done = std::move(predecessor_)] {});  // this is its own call
+  if (!open_) {
+    log_line("the process before has ended without a word");
+    clients_.begin();
+    open_to_clients();
+  }
+  share_limits(false);
+}
+
+// Connections end after their next answer, so that no client's request crosses a close; those that idle are
+// closed when they have stood long enough, as ever.
+void Gateway::hand_over() {
+  handed_over_ = true;
+  handover_->hand_over(ops::encode(module_.hand_over(clock_.now()), {class_labels_, config_.plan_names},
+                                   config_.settings.plans));
+  clients_.leave_queue();
+  clients_.set_draining(true);
+  if (processor_) processor_->listener().drain();
+  log_line("handed over");
+}
+
 // ---- operators ----
 
-bool Gateway::ready() const { return front_.ready() && !draining_ && !engine_.settle_at(); }
+bool Gateway::ready() const {
+  return front_.ready() && (open_ || told_) && !draining_ && !engine_.settle_at();
+}
 
 std::string Gateway::figures() {
   return ops::render({.in_progress = engine_.owed(),
@@ -288,12 +387,14 @@
 
 void Gateway::stop() {
   if (engine_.settle_at()) return;
+  if (!open_) return on_stopped_();  // all clients are the other process's
   engine_.stop(clock_.now());
+  if (handover_ && handover_->has_successor()) hand_over();
   if (processor_) processor_->listener().announce_drain();
-  stop_timer_.expires_after(kStillComing);
+  stop_timer_.expires_after(handed_over_ ? kIdleGone : kStillComing);
   stop_timer_.async_wait([this](error_code error) {
     if (error) return;
-    clients_.wind_down();
+    handed_over_ ? clients_.end_idle() : clients_.wind_down();
     if (processor_) processor_->listener().drain();
     await_stopped();
   });
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -18,6 +18,7 @@
 #include "discovery.h"
 #include "engine.h"
 #include "front.h"
+#include "handover.h"
 #include "hosts.h"
 #include "module.h"
 #include "processor_server.h"
@@ -56,6 +57,13 @@
   std::string figures() override;
   void set_draining(bool on) override;
   void take_settings(const Config& config);
+  void open_to_clients();
+  void open_to_proxies();
+  void take_over(const std::string& state);
+  void on_predecessor_gone();
+  void hand_over();
+  // One of two processes has half of what both may have.
+  void share_limits(bool shared);
 
   std::vector<HostEntry> entries(const TargetList& list);
   void apply(const TargetList& list, ListKind kind);
@@ -85,6 +93,13 @@
   std::map<HostId, Known> known_;
   boost::asio::steady_timer stop_timer_, drain_timer_;
   std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<Predecessor> predecessor_;  // until it has ended
+  std::unique_ptr<Handover> handover_;
+  boost::asio::steady_timer ready_timer_, proxies_timer_;
+  bool open_ = false;       // clients are accepted here, or were
+  bool told_ = false;       // discovery has spoken, or had its time to
+  bool handed_to_ = false;  // a process before this one had the clients
+  bool handed_over_ = false;
   std::vector<std::string> class_labels_;  // by number; of withdrawn classes too
   std::uint64_t loads_ = 0, load_errors_ = 0;
   bool draining_ = false;
--- /dev/null
+++ b/src/net/handover.cpp
@@ -0,0 +1,185 @@
+#include "handover.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+#include "handover_state.h"
+#include "log.h"
+
+namespace thistlepond::net {
+namespace asio = boost::asio;
+using asio::local::stream_protocol;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kAnswerWithinMs = 1000;
+constexpr char kHello = 'L';  // goes with the listening socket
+
+// Danger: in a directory that others can write, anybody could offer a socket or ask for one.
+bool same_user(int fd) {
+  ucred peer{};
+  socklen_t size = sizeof peer;
+  return ::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == ::getuid();
+}
+
+union Control {
+  char bytes[CMSG_SPACE(sizeof(int))];
+  cmsghdr align;
+};
+
+bool send_descriptor(int over, int fd) {
+  char byte = kHello;
+  iovec data{&byte, 1};
+  Control control{};
+  msghdr message{};
+  message.msg_iov = &data;
+  message.msg_iovlen = 1;
+  message.msg_control = control.bytes;
+  message.msg_controllen = sizeof control.bytes;
+  cmsghdr* head = CMSG_FIRSTHDR(&message);
+  head->cmsg_level = SOL_SOCKET;
+  head->cmsg_type = SCM_RIGHTS;
+  head->cmsg_len = CMSG_LEN(sizeof(int));
+  std::memcpy(CMSG_DATA(head), &fd, sizeof fd);
+  return ::sendmsg(over, &message, MSG_NOSIGNAL) == 1;
+}
+
+OwnedFd receive_descriptor(int over) {
+  pollfd wait{over, POLLIN, 0};
+  if (::poll(&wait, 1, kAnswerWithinMs) <= 0) return OwnedFd();
+  char byte = 0;
+  iovec data{&byte, 1};
+  Control control{};
+  msghdr message{};
+  message.msg_iov = &data;
+  message.msg_iovlen = 1;
+  message.msg_control = control.bytes;
+  message.msg_controllen = sizeof control.bytes;
+  if (::recvmsg(over, &message, MSG_CMSG_CLOEXEC) != 1 || byte != kHello) return OwnedFd();
+  const cmsghdr* head = CMSG_FIRSTHDR(&message);
+  if (!head || head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS ||
+      head->cmsg_len != CMSG_LEN(sizeof(int))) {
+    return OwnedFd();
+  }
+  int fd = -1;
+  std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
+  return OwnedFd(fd);
+}
+
+}  // namespace
+
+OwnedFd& OwnedFd::operator=(OwnedFd&& other) noexcept {
+  std::swap(fd_, other.fd_);
+  return *this;
+}
+OwnedFd::~OwnedFd() {
+  if (fd_ >= 0) ::close(fd_);
+}
+int OwnedFd::release() { return std::exchange(fd_, -1); }
+
+// ---- the first process ----
+
+Handover::Handover(asio::io_context& io, std::string path, Events events)
+    : io_(io), path_(std::move(path)), events_(std::move(events)), acceptor_(io) {}
+
+Handover::~Handover() {
+  if (bound_ && !handed_) ::unlink(path_.c_str());
+}
+
+void Handover::listen() {
+  try {
+    // Whoever was there is dead or has handed over: its file is only a name.
+    ::unlink(path_.c_str());
+    acceptor_.open();
+    acceptor_.bind(stream_protocol::endpoint(path_));
+    bound_ = true;
+    ::chmod(path_.c_str(), S_IRUSR | S_IWUSR);
+    acceptor_.listen(4);
+    accept();
+  } catch (const boost::system::system_error& error) {
+    log_line("no upgrade beside this process", path_ + ": " + error.code().message());
+  }
+}
+
+void Handover::accept() {
+  acceptor_.async_accept([this](error_code error, Stream peer) {
+    if (error) return;
+    welcome(std::move(peer));
+    accept();
+  });
+}
+
+// One at a time: a third process is turned away, and says at its start that the address is in use.
+void Handover::welcome(Stream peer) {
+  if (successor_ || handed_ || !same_user(peer.native_handle())) return;
+  if (!send_descriptor(peer.native_handle(), events_.listening_socket())) return;
+  successor_ = std::make_unique<Stream>(std::move(peer));
+  log_line("a second process is there to take over");
+  events_.came();
+  await_end();
+}
+
+void Handover::await_end() {
+  successor_->async_read_some(asio::buffer(&byte_, 1), [this](error_code error, std::size_t) {
+    if (error == asio::error::operation_aborted || handed_) return;
+    if (!error) return await_end();
+    successor_.reset();
+    log_line("the second process has ended before it took over");
+    events_.left();
+  });
+}
+
+void Handover::hand_over(std::string state) {
+  if (!successor_ || handed_) return;
+  handed_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  state_ = std::move(state) + "\n";
+  asio::async_write(*successor_, asio::buffer(state_), [](error_code error, std::size_t) {
+    if (error) log_line("the second process did not take the state", error.message());
+  });
+}
+
+// ---- the second process ----
+
+std::unique_ptr<Predecessor> Predecessor::find(asio::io_context& io, const std::string& path) {
+  Stream stream(io);
+  error_code error;
+  stream.connect(stream_protocol::endpoint(path), error);
+  if (error) return nullptr;  // no such file, or only the name of one that has died
+  if (!same_user(stream.native_handle())) throw std::runtime_error("another user's process is at " + path);
+  OwnedFd listener = receive_descriptor(stream.native_handle());
+  if (listener.get() < 0) return nullptr;  // it ends just now, or has given it to another
+  return std::unique_ptr<Predecessor>(new Predecessor(std::move(stream), std::move(listener)));
+}
+
+void Predecessor::listen_to(Events events) {
+  events_ = std::move(events);
+  read();
+}
+
+void Predecessor::read() {
+  stream_.async_read_some(asio::buffer(part_), [this](error_code error, std::size_t bytes) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) return events_.gone();
+    if (!begun_) text_.append(part_, bytes);
+    if (const auto end = text_.find('\n'); !begun_ && end != std::string::npos) {
+      begun_ = true;
+      text_.resize(end);
+      events_.begin(std::exchange(text_, {}));
+    }
+    if (text_.size() > ops::kMostHandedBytes) return events_.gone();
+    read();
+  });
+}
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/net/handover.h
@@ -0,0 +1,87 @@
+// An upgrade beside oneself: a second process of the same gateway takes the listening socket, and later the
+// customers' state, from the first, over a Unix socket in the directory that both have. Linux: unix(7),
+// SCM_RIGHTS.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace thistlepond::net {
+
+// A descriptor that is closed with its owner.
+class OwnedFd {
+ public:
+  explicit OwnedFd(int fd = -1) : fd_(fd) {}
+  OwnedFd(OwnedFd&& other) noexcept : fd_(other.release()) {}
+  OwnedFd& operator=(OwnedFd&& other) noexcept;
+  ~OwnedFd();
+  int get() const { return fd_; }
+  int release();
+
+ private:
+  int fd_;
+};
+
+// In the first process: waits for a second one.
+class Handover {
+ public:
+  struct Events {
+    std::function<int()> listening_socket;  // to be given; stays its owner's
+    std::function<void()> came;             // a second process has it
+    std::function<void()> left;             // ... and has ended, or broken off, before it was told to begin
+  };
+  Handover(boost::asio::io_context& io, std::string path, Events events);
+  ~Handover();
+
+  // From now on a second process finds this one. Takes the place of whoever was there.
+  void listen();
+  bool has_successor() const { return successor_ != nullptr; }
+  // Tells the second process to begin, with `state`, one line. Its wish is not heard any more.
+  void hand_over(std::string state);
+
+ private:
+  using Stream = boost::asio::local::stream_protocol::socket;
+  void accept();
+  void welcome(Stream peer);
+  void await_end();
+
+  boost::asio::io_context& io_;
+  std::string path_;
+  Events events_;
+  boost::asio::local::stream_protocol::acceptor acceptor_;
+  std::unique_ptr<Stream> successor_;
+  std::string state_;
+  char byte_ = 0;
+  bool handed_ = false, bound_ = false;
+};
+
+// In the second process: the first one.
+class Predecessor {
+ public:
+  struct Events {
+    std::function<void(std::string state)> begin;  // at most once
+    std::function<void()> gone;                    // once, with or without `begin` before
+  };
+  // Null if there is none at this path. Waits a second at most. Throws std::runtime_error if there is one
+  // that gives nothing.
+  static std::unique_ptr<Predecessor> find(boost::asio::io_context& io, const std::string& path);
+
+  OwnedFd take_listening_socket() { return std::move(listener_); }
+  void listen_to(Events events);
+
+ private:
+  using Stream = boost::asio::local::stream_protocol::socket;
+  Predecessor(Stream stream, OwnedFd listener) : stream_(std::move(stream)), listener_(std::move(listener)) {}
+  void read();
+
+  Stream stream_;
+  OwnedFd listener_;
+  Events events_;
+  std::string text_;
+  char part_[16384];
+  bool begun_ = false;
+};
+
+}  // namespace thistlepond::net
--- /dev/null
+++ b/src/ops/handover_state.cpp
@@ -0,0 +1,109 @@
+#include "handover_state.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cmath>
+#include <vector>
+
+namespace thistlepond::ops {
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kVersion = 1;
+
+std::uint32_t number_of(std::span<const std::string> names, std::string_view name) {
+  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+json::array words(std::span<const std::string> names) {
+  json::array all;
+  for (const auto& n : names) all.emplace_back(n);
+  return all;
+}
+
+double number(const json::value& v) {
+  const double n = v.to_number<double>();
+  if (!std::isfinite(n)) throw HandoverError("a number that is none");
+  return n;
+}
+
+json::value customer(const CustomerState& c) {
+  json::array children;
+  for (const double level : c.children) children.emplace_back(level);
+  return json::array{c.id,      c.plan,   c.spread, c.parent,           c.whole,
+                     c.ceiling, c.demand, c.unseen, std::move(children)};
+}
+
+// Numbers of the other process to those here; names that are not here to a number past the last.
+std::vector<std::uint32_t> translation(const json::value& theirs, std::span<const std::string> ours) {
+  std::vector<std::uint32_t> to;
+  for (const auto& name : theirs.as_array()) {
+    const std::string_view text = name.as_string();
+    to.push_back(text.empty() ? static_cast<std::uint32_t>(ours.size()) : number_of(ours, text));
+  }
+  return to;
+}
+
+CustomerState read_customer(const json::array& one, const std::vector<std::uint32_t>& plans,
+                            const std::vector<std::uint32_t>& classes, std::size_t our_classes) {
+  CustomerState c;
+  c.id = one.at(0).to_number<std::uint64_t>();
+  c.plan = plans.at(one.at(1).to_number<std::uint32_t>());
+  c.spread = number(one.at(2));
+  c.parent = number(one.at(3));
+  c.whole = number(one.at(4));
+  c.ceiling = number(one.at(5));
+  c.demand = number(one.at(6));
+  c.unseen = number(one.at(7));
+  const auto& levels = one.at(8).as_array();
+  c.children.assign(our_classes, c.parent);  // a class that is new here: what its parent could give
+  for (std::size_t i = 0; i < levels.size(); ++i) {
+    if (classes.at(i) < our_classes) c.children[classes[i]] = number(levels[i]);
+  }
+  return c;
+}
+
+}  // namespace
+
+std::string encode(const HandedState& state, const Names& names, std::span<const PlanSettings> plans) {
+  std::vector<const CustomerState*> order;
+  for (const auto& c : state.customers) order.push_back(&c);
+  const auto rank = [&](const CustomerState* c) {
+    return std::pair(c->plan < plans.size() && plans[c->plan].ceiling_rate > 0 ? 0 : 1, c->unseen);
+  };
+  if (order.size() > kMostHanded) {
+    std::sort(order.begin(), order.end(), [&](auto* a, auto* b) { return rank(a) < rank(b); });
+    order.resize(kMostHanded);
+  }
+  json::array customers;
+  for (const auto* c : order) customers.push_back(customer(*c));
+  return json::serialize(json::object{{"version", kVersion},
+                                      {"age_ms", state.age},
+                                      {"classes", words(names.classes)},
+                                      {"plans", words(names.plans)},
+                                      {"customers", std::move(customers)}});
+}
+
+HandedState decode(std::string_view text, const Names& names) {
+  try {
+    const auto value = json::parse(text);
+    const auto& o = value.as_object();
+    if (o.at("version").to_number<int>() != kVersion) throw HandoverError("a state of another version");
+    HandedState state;
+    state.age = number(o.at("age_ms"));
+    const auto classes = translation(o.at("classes"), names.classes);
+    const auto plans = translation(o.at("plans"), names.plans);
+    for (const auto& one : o.at("customers").as_array()) {
+      auto c = read_customer(one.as_array(), plans, classes, names.classes.size());
+      if (c.plan < names.plans.size()) state.customers.push_back(std::move(c));
+    }
+    return state;
+  } catch (const HandoverError&) {
+    throw;
+  } catch (const std::exception& error) {
+    throw HandoverError(std::string("not a state: ") + error.what());
+  }
+}
+
+}  // namespace thistlepond::ops
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -357,6 +357,8 @@
       if (now - link->idle_since() > limits_.idle_limit * kIdleShare) link->close();
     }
   }
+  while (links_ > limits_.connections && drop_an_idle_link()) {
+  }
   std::erase_if(leaving_, [](const auto& entry) { return entry.second->links.empty(); });
 }
 
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -65,6 +65,8 @@
   bool withdraw(Ms now, AttemptId attempt) override;
   void retire(Ms now, HostId host) override;
 
+  // New bounds; what idles above them is closed at the next sweep.
+  void set_limits(const PoolLimits& limits) { limits_ = limits; }
   // Closes what has stood idle for too long and forgets hosts that are done with. To be called a few times a
   // second.
   void sweep(Ms now);
