--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -117,6 +117,30 @@
   if (oldest && now - oldest->quiet_since > kDoneMemoryMs) out.probe(oldest->entry.id);
 }
 
+// A long value has begun to come: the host's work is done, and what is left is the client's pace. Danger:
+// counted on as load, slow readers would look like a jam; and its time to the last byte says nothing of the
+// host.
+void Control::State::stream_begun(Held& r, std::uint32_t attempt, Actions& out) {
+  Attempt& a = r.attempts[attempt];
+  if (r.streaming || !a.out) return;
+  r.streaming = a.streams = true;
+  Host& h = hosts[a.host];
+  settle(h);
+  if (a.overdue && !a.lost) h.overdue = std::max(h.overdue - 1, 0.0);
+  if (!std::exchange(a.lost, true)) h.out = std::max(h.out - 1, 0.0);
+  h.quiet_since = now;
+  h.newest_answered = std::max(h.newest_answered, a.sent);
+  newest_answered = std::max(newest_answered, a.sent);
+  AttemptEnd begun;
+  begun.outcome = Outcome::kOk;
+  begun.took_ms = now - a.sent;
+  learn(h, r, begun);
+  judge(h, false, out);
+  for (std::uint32_t i = 0; i < r.attempts.size(); ++i) {
+    if (i != attempt) call_off(r, i, out);
+  }
+}
+
 void Control::State::ended(const AttemptEnd& e, Actions& out) {
   const auto it = held.find(e.request);
   if (it == held.end() || e.attempt >= it->second.attempts.size()) return;
@@ -153,6 +177,7 @@
   if (!a.may_have_run && e.outcome != Outcome::kNotSent && fulls() < kOutcomeGain) budget += 1;
   switch (e.outcome) {
     case Outcome::kOk:
+      if (a.streams) break;
       learn(h, r, e);
       judge(h, false, out);
       break;
@@ -266,10 +291,11 @@
   s.admit(r, out);
 }
 
-void Control::on_stream_begun(Ms now, RequestId request, std::uint32_t, Actions&) {
-  state_->now = now;
-  const auto it = state_->held.find(request);
-  if (it != state_->held.end()) it->second.streaming = true;
+void Control::on_stream_begun(Ms now, RequestId request, std::uint32_t attempt, Actions& out) {
+  auto& s = *state_;
+  s.now = now;
+  const auto it = s.held.find(request);
+  if (it != s.held.end() && attempt < it->second.attempts.size()) s.stream_begun(it->second, attempt, out);
 }
 
 void Control::on_attempt_end(Ms now, const AttemptEnd& end, Actions& out) {
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -73,7 +73,8 @@
   bool cancelled = false;
   bool overdue = false;  // see find_lost
   bool bad = false;      // and was told to its host's record
-  bool lost = false;
+  bool lost = false;     // counts at its host no more
+  bool streams = false;  // its long value is coming
 };
 
 struct Held {
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -127,6 +127,7 @@
   void learn(Host& h, const Held& r, const AttemptEnd& e);
   void report(Host& h, const LoadReport& told, bool expected);
   void look_around(Actions& out);
+  void stream_begun(Held& r, std::uint32_t attempt, Actions& out);
   void ended(const AttemptEnd& e, Actions& out);
   void list(ListKind kind, std::span<const HostEntry> entries, Actions& out);
   void tick(Actions& out);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -98,6 +98,7 @@
   const auto it = asked_.find(name);
   if (it == asked_.end() || it->second.answered || mutant(Mutant::kLosesGoneClient)) return;
   settle(name, nullptr, [](FrontEnd&, Ticket) {});
+  if (it->second.passing) resume(it->second);  // the rest goes nowhere, and must not wait for anybody
   consult(0, [&] { module_.on_gone(now, name, *this); });
   after_module();
 }
@@ -133,12 +134,20 @@
   end_try(request, attempt, Outcome::kCancelled, {});
 }
 
+// A value that has begun is the answer, whatever the module makes of it.
+bool Engine::passing(RequestId request) const {
+  const auto it = asked_.find(request);
+  return it != asked_.end() && it->second.passing;
+}
+
 void Engine::refuse(RequestId request, Ms retry_after) {
+  if (passing(request)) return;
   settle(request, &ClassFigures::dropped,
          [&](FrontEnd& front, Ticket ticket) { front.refused(now_, ticket, retry_after); });
 }
 
 void Engine::fail(RequestId request) {
+  if (passing(request)) return;
   settle(request, &ClassFigures::failed,
          [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kGivenUp); });
 }
@@ -158,7 +167,10 @@
   if (it == tries_.end()) return;
   const auto [request, index] = it->second;
   // A value that comes after the final answer goes nowhere.
-  if (outcome == Outcome::kOk) {
+  const auto passing = asked_.at(request).passing;
+  if (passing) {
+    if (*passing == index) end_value(request, outcome);
+  } else if (outcome == Outcome::kOk) {
     settle(request, &ClassFigures::passed,
            [&](FrontEnd& front, Ticket ticket) { front.served(now, ticket, value); });
   }
@@ -166,6 +178,49 @@
   after_module();
 }
 
+void Engine::on_value_begun(Ms now, AttemptId attempt, std::size_t size) {
+  now_ = now;
+  const auto it = tries_.find(attempt);
+  if (it == tries_.end()) return;
+  const auto [request, index] = it->second;
+  Asked& r = asked_.at(request);
+  if (r.answered || r.passing) return;  // its pieces go nowhere
+  r.passing = index;
+  r.front->value_begun(now, r.ticket, size);
+  consult(request, [&] { module_.on_stream_begun(now, request, index, *this); });
+  after_module();
+}
+
+bool Engine::on_value_piece(Ms now, AttemptId attempt, std::string_view bytes) {
+  now_ = now;
+  const auto it = tries_.find(attempt);
+  if (it == tries_.end()) return true;
+  Asked& r = asked_.at(it->second.first);
+  if (r.answered || r.passing != it->second.second) return true;
+  return r.front->value_piece(now, r.ticket, bytes);
+}
+
+void Engine::on_room(Ms now, RequestId name) {
+  now_ = now;
+  const auto it = asked_.find(name);
+  if (it != asked_.end() && it->second.passing) resume(it->second);
+}
+
+void Engine::resume(const Asked& r) {
+  const Try& t = r.tries[*r.passing];
+  if (t.out) r.hosts->resume(now_, t.id);
+}
+
+void Engine::end_value(RequestId request, Outcome outcome) {
+  if (outcome == Outcome::kOk) {
+    settle(request, &ClassFigures::passed,
+           [&](FrontEnd& front, Ticket ticket) { front.value_ended(now_, ticket); });
+  } else {
+    settle(request, &ClassFigures::failed,
+           [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kGivenUp); });
+  }
+}
+
 void Engine::on_last_end(Ms now, AttemptId attempt, Outcome outcome, const LoadReport& load) {
   now_ = now;
   const auto it = tries_.find(attempt);
@@ -302,13 +357,13 @@
   if (it == asked_.end()) return;
   for (std::uint32_t i = 0; i < it->second.tries.size(); ++i) {
     const Try t = it->second.tries[i];
-    if (!t.out || now_ < t.until) continue;
+    if (!t.out || now_ < t.until || it->second.passing == i) continue;
     const bool silent = it->second.hosts->abandon(now_, t.id);
     end_try(id, i, silent ? Outcome::kTimedOut : Outcome::kCancelled, {});
   }
   tell_ends();
   const auto left = asked_.find(id);
-  if (left == asked_.end() || now_ < left->second.expires_at) return;
+  if (left == asked_.end() || left->second.passing || now_ < left->second.expires_at) return;
   if (!left->second.answered) note_("settled at its deadline, not by the module", "");
   settle(id, &ClassFigures::failed,
          [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kTimedOut); });
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -68,6 +68,12 @@
   // known.
   virtual void refused(Ms now, Ticket ticket, Ms retry_after) = 0;
   virtual void failed(Ms now, Ticket ticket, Failure why) = 0;
+  // A long value comes in pieces instead of `served`: begun, its pieces, ended. `failed` in their place says
+  // that the rest does not come, and the client must be able to tell. False from `value_piece`: it is taken,
+  // and no more is wanted until `Engine::on_room`.
+  virtual void value_begun(Ms, Ticket, std::size_t) {}
+  virtual bool value_piece(Ms, Ticket, std::string_view) { return true; }
+  virtual void value_ended(Ms, Ticket) {}
 };
 
 // Danger: what is short here must not be blamed on the host, which was asked for nothing.
@@ -91,6 +97,8 @@
   virtual bool withdraw(Ms now, AttemptId attempt) = 0;
   // Nothing new for this host. What waits for a connection to it ends; ends may be reported from inside.
   virtual void retire(Ms now, HostId host) = 0;
+  // `Engine::on_value_piece` has said no for this attempt, and now there is room.
+  virtual void resume(Ms, AttemptId) {}
 };
 
 struct Limits {
@@ -145,6 +153,15 @@
   void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                       const LoadReport& load);
 
+  // A long value of an attempt: it begins, its pieces; its end is `on_attempt_end`. From its beginning on the
+  // request has its answer in all but the rest: no other attempt is made or heard, its time is no bound any
+  // more (whoever carries the bytes must end what stands still), and no refusal can follow. False: not now,
+  // `HostSide::resume` tells.
+  void on_value_begun(Ms now, AttemptId attempt, std::size_t size);
+  bool on_value_piece(Ms now, AttemptId attempt, std::string_view bytes);
+  // The client has room again for the value of this request.
+  void on_room(Ms now, RequestId name);
+
   // The same where the client has its answer already, whatever the outcome: nothing is answered here any
   // more, and no further attempt is made.
   void on_last_end(Ms now, AttemptId attempt, Outcome outcome, const LoadReport& load);
@@ -189,7 +206,8 @@
     Ms expires_at = 0;
     std::uint64_t identity = 0;
     std::uint32_t class_index = 0;
-    bool answered = false;  // nothing is owed any more
+    bool answered = false;                 // nothing is owed any more
+    std::optional<std::uint32_t> passing;  // the attempt whose long value is being passed on
     std::vector<Try> tries;
     std::size_t out = 0;
     std::size_t untold = 0;  // ends that the module has not heard of
@@ -230,6 +248,9 @@
   void tell_ends();
   void withdraw_waiting(RequestId id);
   void fail_if_stranded(RequestId id);
+  bool passing(RequestId request) const;
+  void resume(const Asked& r);
+  void end_value(RequestId request, Outcome outcome);
   void expire(RequestId id);
   void forget_if_done(RequestId id);
   void drop_dead_timers();
--- a/src/engine/module.h
+++ b/src/engine/module.h
@@ -18,6 +18,8 @@
   virtual void on_list(Ms now, ListKind kind, std::span<const HostEntry> entries, Actions& out) = 0;
   virtual void on_request(Ms now, const Request& request, Actions& out) = 0;
   virtual void on_attempt_end(Ms now, const AttemptEnd& end, Actions& out) = 0;
+  // The value of an attempt begins to come; its end is `on_attempt_end`. Some modules need not know.
+  virtual void on_stream_begun(Ms, RequestId, std::uint32_t, Actions&) {}
   virtual void on_gone(Ms now, RequestId request, Actions& out) = 0;
   virtual void on_timer(Ms now, std::uint64_t token, Actions& out) = 0;
 };
@@ -36,6 +38,9 @@
   void on_attempt_end(Ms now, const AttemptEnd& end, Actions& out) override {
     control_.on_attempt_end(now, end, out);
   }
+  void on_stream_begun(Ms now, RequestId request, std::uint32_t attempt, Actions& out) override {
+    control_.on_stream_begun(now, request, attempt, out);
+  }
   void on_gone(Ms now, RequestId request, Actions& out) override { control_.on_gone(now, request, out); }
   void on_timer(Ms now, std::uint64_t token, Actions& out) override { control_.on_timer(now, token, out); }
   // Between events only.
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -96,6 +96,10 @@
   void on_closed(std::uint64_t id) override;
   void answer(Ms now, resp::Ticket ticket, std::string_view reply) override;
   void reject(Ms now, resp::Ticket ticket, std::string_view why) override;
+  // The hosts here give short values only.
+  void begin_value(Ms, resp::Ticket, std::size_t) override { complain("the explorer", "a long value"); }
+  bool add_to_value(Ms, resp::Ticket, std::string_view) override { return true; }
+  void end_value(Ms, resp::Ticket) override {}
 
   void begin();
   void list(ListKind kind, std::vector<HostEntry> entries);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -124,6 +124,21 @@
   if (it != connections_.end()) it->second->reject(now, ticket.place, why);
 }
 
+void Clients::begin_value(Ms now, Ticket ticket, std::size_t size) {
+  const auto it = connections_.find(ticket.connection);
+  if (it != connections_.end()) it->second->begin_value(now, ticket.place, size);
+}
+
+bool Clients::add_to_value(Ms now, Ticket ticket, std::string_view bytes) {
+  const auto it = connections_.find(ticket.connection);
+  return it == connections_.end() || it->second->add_to_value(now, ticket.place, bytes);
+}
+
+void Clients::end_value(Ms now, Ticket ticket) {
+  const auto it = connections_.find(ticket.connection);
+  if (it != connections_.end()) it->second->end_value(now, ticket.place);
+}
+
 resp::Named Clients::on_command(Ms, Ticket ticket, std::span<const resp::Item> words) {
   return events_.on_command(ticket, words);
 }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -23,6 +23,7 @@
   // A well-framed command.
   virtual resp::Named on_command(Ticket ticket, std::span<const resp::Item> words) = 0;
   virtual void on_client_gone(std::uint64_t name) = 0;
+  virtual void on_room(std::uint64_t name) = 0;
   // See resp::ClientOwner.
   virtual void on_unsent(std::uint64_t identity) = 0;
   virtual void on_sent(std::uint64_t identity) = 0;
@@ -52,6 +53,9 @@
 
   void answer(Ms now, Ticket ticket, std::string_view reply) override;
   void reject(Ms now, Ticket ticket, std::string_view why) override;
+  void begin_value(Ms now, Ticket ticket, std::size_t size) override;
+  bool add_to_value(Ms now, Ticket ticket, std::string_view bytes) override;
+  void end_value(Ms now, Ticket ticket) override;
 
   // From here on nobody new; connections close as soon as nothing is owed on them.
   void wind_down();
@@ -71,6 +75,7 @@
   void on_unsent(std::uint64_t identity) override { events_.on_unsent(identity); }
   void on_sent(std::uint64_t identity) override { events_.on_sent(identity); }
   void on_client_gone(Ms now, std::uint64_t name) override;
+  void on_room(Ms, std::uint64_t name) override { events_.on_room(name); }
   void on_closed(std::uint64_t id) override { connections_.erase(id); }
 
   void accept();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -48,10 +48,18 @@
   void on_unsent(std::uint64_t identity) override { front_.on_unsent(identity); }
   void on_sent(std::uint64_t identity) override { front_.on_sent(identity); }
   void on_client_gone(std::uint64_t name) override;
+  void on_room(std::uint64_t name) override { engine_.on_room(clock_.now(), name); }
   void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                       std::string_view report) override;
   void on_targets(const TargetList& list) override;
 
+  void on_value_begun(Ms now, AttemptId attempt, std::size_t size) override {
+    engine_.on_value_begun(now, attempt, size);
+    arm_timer();
+  }
+  bool on_value_piece(Ms now, AttemptId attempt, std::string_view bytes) override {
+    return engine_.on_value_piece(now, attempt, bytes);
+  }
   void on_attempt_written(AttemptId attempt) override { engine_.on_written(attempt); }
   bool ready() const override;
   std::string figures() override;
--- a/src/resp/client_link.cpp
+++ b/src/resp/client_link.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kMostPending = 64;         // commands of one connection not yet answered
 constexpr std::size_t kMostUnsent = 256 * 1024;  // answers of one connection not yet taken
+constexpr std::size_t kMostAhead = 48 * 1024;    // of a long value, ahead of what its client has taken
 constexpr Ms kStalled = 10'000;                  // a client that takes in nothing of its answers for so long
 // A client is owed a command, an error or a close within 3 s of its connecting, and half a command may be
 // large and slow. What is idle may go after 2 s; clients that still come use their connections more often.
@@ -38,28 +39,110 @@
 }
 
 void ClientLink::answer(Ms now, std::uint64_t place, std::string_view reply) {
-  if (closed_ || place < first_ || place - first_ >= slots_.size()) return;
-  Slot& slot = slots_[place - first_];
-  if (slot.done) return;
-  slot.done = true;
-  const Named named = std::exchange(slot.named, Named{});
+  Slot* slot = slot_at(place);
+  if (!slot) return;
+  if (slot->streams) {
+    if (place == first_) {
+      slot->named = {};
+      return cut();
+    }
+    totals_.unsent -= std::exchange(slot->counted, 0);  // none of it is out: the answer takes its place
+    slot->reply.clear();
+  }
+  slot->done = true;
+  const Named named = std::exchange(slot->named, Named{});
   if (place != first_ && !mutant(Mutant::kAnswersOutOfOrder)) {
-    slot.reply = reply;
-    totals_.unsent += slot.reply.size();
-    slot.counted = slot.reply.size();
+    slot->reply = reply;
+    totals_.unsent += slot->reply.size();
+    slot->counted = slot->reply.size();
     return keep_unsent(named);
   }
   append(now, reply);
-  while (!slots_.empty() && slots_.front().done) {
-    totals_.unsent -= slots_.front().counted;
-    if (slots_.front().counted > 0) append(now, slots_.front().reply);
+  next_slots(now);
+  if (!parsing_) write(now);
+  if (!out_.empty()) keep_unsent(named);
+  if (held_back_) go_on_later();
+}
+
+// Null if this place has its answer, or never was.
+ClientLink::Slot* ClientLink::slot_at(std::uint64_t place) {
+  if (closed_ || place < first_ || place - first_ >= slots_.size()) return nullptr;
+  Slot& slot = slots_[place - first_];
+  return slot.done ? nullptr : &slot;
+}
+
+// What is done at the front goes out, and what has come of a long value behind it.
+void ClientLink::next_slots(Ms now) {
+  while (!slots_.empty() && (slots_.front().done || slots_.front().streams)) {
+    Slot& front = slots_.front();
+    totals_.unsent -= std::exchange(front.counted, 0);
+    if (!front.reply.empty()) append(now, std::exchange(front.reply, {}));
+    if (!front.done) {
+      if (front.full && !std::exchange(room_due_, true)) stream_->later();
+      return;
+    }
     slots_.pop_front(), ++first_;
   }
+}
+
+// Danger: called from inside the engine, which must not be entered again, as closing would. So it waits for
+// the loop.
+void ClientLink::cut() {
+  if (std::exchange(write_failed_, true)) return;
+  stream_->later();
+}
+
+void ClientLink::emit(Ms now, std::uint64_t place, std::string_view bytes) {
+  if (place == first_) {
+    append(now, bytes);
+    if (!parsing_) write(now);
+    return;
+  }
+  Slot& slot = slots_[place - first_];
+  slot.reply += bytes;
+  slot.counted += bytes.size();
+  totals_.unsent += bytes.size();
+}
+
+void ClientLink::begin_value(Ms now, std::uint64_t place, std::size_t size) {
+  Slot* slot = slot_at(place);
+  if (!slot) return;
+  slot->streams = true;
+  emit(now, place, "$" + std::to_string(size) + "\r\n");
+}
+
+bool ClientLink::add_to_value(Ms now, std::uint64_t place, std::string_view bytes) {
+  Slot* slot = slot_at(place);
+  if (!slot || write_failed_) return true;
+  emit(now, place, bytes);
+  const std::size_t waits = place == first_ ? out_.size() - sent_ : slot->reply.size();
+  slot->full = waits >= kMostAhead;
+  return !slot->full;
+}
+
+void ClientLink::end_value(Ms now, std::uint64_t place) {
+  Slot* slot = slot_at(place);
+  if (!slot || write_failed_) return;
+  const Named named = std::exchange(slot->named, Named{});
+  slot->done = true;
+  slot->full = false;
+  if (place != first_) {
+    emit(now, place, "\r\n");
+    return keep_unsent(named);
+  }
+  append(now, "\r\n");
+  next_slots(now);
   if (!parsing_) write(now);
   if (!out_.empty()) keep_unsent(named);
   if (held_back_) go_on_later();
 }
 
+void ClientLink::tell_room(Ms now) {
+  if (closed_ || slots_.empty() || !slots_.front().full || out_.size() - sent_ >= kMostAhead / 2) return;
+  slots_.front().full = false;
+  owner_.on_room(now, slots_.front().named.name);
+}
+
 // Danger: an id is taken until its client has the answer. Another request with it would be served meanwhile,
 // and two clients could not tell whose answer is whose.
 void ClientLink::keep_unsent(const Named& named) {
@@ -132,6 +215,10 @@
 
 void ClientLink::append(Ms now, std::string_view reply) {
   if (out_.empty()) touch(now);
+  if (sent_ >= kMostAhead) {  // or a long value would be held whole
+    totals_.unsent -= sent_;
+    out_.erase(0, std::exchange(sent_, 0));
+  }
   out_ += reply;
   totals_.unsent += reply.size();
 }
@@ -173,6 +260,8 @@
 
 void ClientLink::on_later(Ms now) {
   if (write_failed_) return close(now);
+  if (std::exchange(room_due_, false)) tell_room(now);
+  if (closed_) return;
   resuming_ = false;
   if (held_back_) go_on(now);
 }
@@ -254,7 +343,8 @@
   if (closed_) return;
   if (!ok) return close(now);
   write(now);
-  if (held_back_) go_on(now);
+  tell_room(now);
+  if (!closed_ && held_back_) go_on(now);
 }
 
 // Danger: closing a socket with unread bytes sends a reset, which may destroy the last answer on its way.
@@ -275,7 +365,8 @@
   into.add(std::string_view(out_).substr(sent_));
   for (const auto identity : unsent_) into.add(identity);
   for (const auto& slot : slots_) {
-    into.add(slot.named.name << 1 | std::uint64_t{slot.done});
+    into.add(slot.named.name << 3 | std::uint64_t{slot.done} << 2 | std::uint64_t{slot.streams} << 1 |
+             std::uint64_t{slot.full});
     into.add(slot.reply);
   }
 }
--- a/src/resp/client_link.h
+++ b/src/resp/client_link.h
@@ -46,6 +46,8 @@
   virtual void on_unsent(std::uint64_t identity) = 0;
   virtual void on_sent(std::uint64_t identity) = 0;
   virtual void on_client_gone(Ms now, std::uint64_t name) = 0;
+  // There is room again for the long value of the request of this name.
+  virtual void on_room(Ms, std::uint64_t) {}
   virtual void on_closed(std::uint64_t id) = 0;
 };
 
@@ -57,6 +59,12 @@
 
   // `reply` is one whole RESP value. Does nothing if this place has its answer. Calls nobody back.
   void answer(Ms now, std::uint64_t place, std::string_view reply);
+  // A long value instead of `answer`, in pieces. False: taken, and no more is wanted until
+  // `ClientOwner::on_room`. `answer` before its end cuts it off: if some of it is out, the connection ends,
+  // so that the client can tell.
+  void begin_value(Ms now, std::uint64_t place, std::size_t size);
+  bool add_to_value(Ms now, std::uint64_t place, std::string_view bytes);
+  void end_value(Ms now, std::uint64_t place);
   // An error line for what is no proper request. A client that makes many such mistakes is closed.
   void reject(Ms now, std::uint64_t place, std::string_view why);
 
@@ -86,11 +94,18 @@
   struct Slot {
     Named named;
     bool done = false;
+    bool streams = false;  // a long value has begun
+    bool full = false;     // ... and waits for room
     std::size_t counted = 0;
     std::string reply;
   };
 
   void touch(Ms now);
+  Slot* slot_at(std::uint64_t place);
+  void emit(Ms now, std::uint64_t place, std::string_view bytes);
+  void next_slots(Ms now);
+  void cut();
+  void tell_room(Ms now);
   void append(Ms now, std::string_view reply);
   bool must_hold_back() const;
   void read();
@@ -118,6 +133,7 @@
   std::uint64_t used_ = 0;
   bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
   bool parsing_ = false, held_back_ = false, resuming_ = false, broken_ = false, lingering_ = false;
+  bool room_due_ = false;
   bool last_ = false;  // close when nothing is owed any more
 };
 
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -32,6 +32,10 @@
   // `reply` is one whole RESP value. Does nothing if the client is gone. Calls nobody back.
   virtual void answer(Ms now, Ticket ticket, std::string_view reply) = 0;
   virtual void reject(Ms now, Ticket ticket, std::string_view why) = 0;
+  // A long value in the place of `answer`; `answer` before its end cuts it off. See engine::FrontEnd.
+  virtual void begin_value(Ms now, Ticket ticket, std::size_t size) = 0;
+  virtual bool add_to_value(Ms now, Ticket ticket, std::string_view bytes) = 0;
+  virtual void end_value(Ms now, Ticket ticket) = 0;
 };
 
 class Front : public engine::FrontEnd {
@@ -54,6 +58,13 @@
   void served(Ms now, Ticket ticket, std::string_view value) override;
   void refused(Ms now, Ticket ticket, Ms retry_after) override;
   void failed(Ms now, Ticket ticket, engine::Failure why) override;
+  void value_begun(Ms now, Ticket ticket, std::size_t size) override {
+    replies_.begin_value(now, ticket, size);
+  }
+  bool value_piece(Ms now, Ticket ticket, std::string_view bytes) override {
+    return replies_.add_to_value(now, ticket, bytes);
+  }
+  void value_ended(Ms now, Ticket ticket) override { replies_.end_value(now, ticket); }
 
  private:
   struct Parsed;
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -14,6 +14,7 @@
 constexpr double kIdleShare = 0.5;  // of the host's idle limit: an answer's way and a slow moment fit besides
 constexpr std::size_t kReplyElements = 3;
 constexpr std::size_t kKeptRequest = 4096;
+constexpr std::size_t kBeginsWith = 2048;  // bytes of a long value
 
 // A good reply's elements: the value, the figures on use or null, the load report or null.
 enum : std::size_t { kValue = 0, kUse = 1, kReport = 2, kWords = 3 };
@@ -75,7 +76,10 @@
 // One connection: connecting, then by turns with an attempt out, at rest and idle; closed for good.
 class HostPool::Link : public StreamEvents {
  public:
-  Link(HostPool& owner, std::shared_ptr<Pool> pool) : owner_(owner), pool_(std::move(pool)) {}
+  Link(HostPool& owner, std::shared_ptr<Pool> pool)
+      : owner_(owner),
+        pool_(std::move(pool)),
+        reader_(resp::Limits{.elements = kReplyElements, .long_value = owner.limits_.long_value}, false) {}
 
   // False if there is no socket to be had.
   bool connect(const Address& at) {
@@ -134,6 +138,15 @@
     progress(now);
   }
 
+  void resume() {
+    if (closed_ || !std::exchange(paused_, false)) return;
+    read();
+  }
+  // Of a long value.
+  bool stalled(Ms now) const {
+    return begun_ && !paused_ && !closed_ && now - moved_ > owner_.limits_.stalled;
+  }
+
   void on_writable(Ms now, bool ok) override {
     writing_ = false;
     if (closed_) return;
@@ -187,6 +200,30 @@
         return spoilt(now, reader_.fault());
       case Progress::kFrame:
         return answered(now);
+      case Progress::kLong:
+        return pass_on(now);
+    }
+  }
+
+  // Danger: a value that begins goes to the client, and then no other attempt can help. So it begins with
+  // more than the length that was announced.
+  void pass_on(Ms now) {
+    const auto self = shared_from_this();
+    moved_ = now;
+    if (!begun_) {
+      if (reader_.long_here() < kBeginsWith) return read();
+      begun_ = true;
+      owner_.events_.on_value_begun(now, attempt_, reader_.long_size());
+      if (closed_) return;
+    }
+    const auto piece = reader_.take_long();
+    const bool more = piece.empty() || owner_.events_.on_value_piece(now, attempt_, piece);
+    if (closed_) return;
+    if (reader_.long_left() == 0) return progress(now);
+    if (!more) {
+      paused_ = true;
+    } else {
+      read();
     }
   }
 
@@ -201,6 +238,7 @@
     if (!reading.good && mutant(Mutant::kReadsOnAfterSpoilt)) return progress(now);
     if (!reading.good) return spoilt(now, reading.fault);
     const auto attempt = std::exchange(attempt_, 0);
+    begun_ = false;
     const bool clean = whole() && (reader_.empty() || mutant(Mutant::kIgnoresNoise));
     // The report of the end may start the next attempt, which could take this connection: it stays out of
     // the pool until the value, which lies in its reader, has been passed on.
@@ -217,14 +255,16 @@
   HostPool& owner_;
   std::shared_ptr<Pool> pool_;  // an attempt may outlast its host's entry
   std::unique_ptr<Stream> stream_;
-  Reader reader_{resp::Limits{.elements = kReplyElements}, false};
+  Reader reader_;
   Frame frame_;
   AttemptId attempt_ = 0;  // 0: none
   AttemptId failed_attempt_ = 0;
   std::string request_;
   std::size_t written_ = 0;
   Ms idle_since_ = 0;
+  Ms moved_ = 0;  // a long value's last bytes came then
   bool up_ = false, closed_ = false, writing_ = false;
+  bool begun_ = false, paused_ = false;  // a long value is being passed on; it waits for the client
 };
 
 HostPool::HostPool(Dialer& dialer, HostEvents& events, const PoolLimits& limits, Log log)
@@ -339,6 +379,11 @@
   return true;
 }
 
+void HostPool::resume(Ms, AttemptId attempt) {
+  const auto it = out_.find(attempt);
+  if (it != out_.end()) std::shared_ptr(it->second)->resume();
+}
+
 bool HostPool::withdraw(Ms now, AttemptId attempt) {
   const auto it = out_.find(attempt);
   if (it == out_.end() || it->second->whole()) return false;
@@ -357,6 +402,14 @@
       if (now - link->idle_since() > limits_.idle_limit * kIdleShare) link->close();
     }
   }
+  std::vector<std::shared_ptr<Link>> stalled;
+  for (const auto& [attempt, link] : out_) {
+    if (link->stalled(now)) stalled.push_back(link);
+  }
+  for (const auto& link : stalled) {
+    log_("a host gives nothing more of its value", "");
+    link->finish(now, Outcome::kBroken);
+  }
   while (links_ > limits_.connections && drop_an_idle_link()) {
   }
   std::erase_if(leaving_, [](const auto& entry) { return entry.second->links.empty(); });
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -34,6 +34,11 @@
   // with `kOk`; `report` is the host's load report as it came, or empty. Both last until the call returns.
   virtual void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                               std::string_view report) = 0;
+  // A long value begins to come, `size` bytes in all, and its pieces. Its end is `on_attempt_end`, with an
+  // empty value if all of it came. False from `on_value_piece`: nothing more is read until
+  // `HostPool::resume`.
+  virtual void on_value_begun(Ms, AttemptId, std::size_t) {}
+  virtual bool on_value_piece(Ms, AttemptId, std::string_view) { return true; }
   // Its last byte is written. May come from inside `HostPool::start`, so it must not call back.
   virtual void on_attempt_written(AttemptId) {}
 };
@@ -44,7 +49,9 @@
   std::size_t connections = 400;  // over all hosts
   std::size_t per_host = 96;
   std::size_t idle_per_host = 16;
-  Ms rest = 0;  // of a connection after an answer, before it is used again
+  Ms rest = 0;                               // of a connection after an answer, before it is used again
+  std::size_t long_value = 4 * 1024 * 1024;  // bytes of the longest value; above 64 KiB it passes in pieces
+  Ms stalled = 10'000;                       // a host that gives nothing of such a value for so long
 };
 
 // One attempt is out on a connection at a time: giving one up means to close its connection, and an answer
@@ -64,6 +71,7 @@
   bool abandon(Ms now, AttemptId attempt) override;
   bool withdraw(Ms now, AttemptId attempt) override;
   void retire(Ms now, HostId host) override;
+  void resume(Ms now, AttemptId attempt) override;
 
   // New bounds; what idles above them is closed at the next sweep.
   void set_limits(const PoolLimits& limits) { limits_ = limits; }
--- a/src/resp/resp.cpp
+++ b/src/resp/resp.cpp
@@ -81,6 +81,13 @@
     }
     const auto size = length_of(rest);
     if (!size) return broken("invalid bulk length");
+    if (*size > limits_.value && *size <= limits_.long_value && array_ && marks_.empty()) {
+      begin_ += cursor_;  // nothing before it is needed any more
+      cursor_ = 0;
+      in_long_ = true;
+      long_size_ = long_left_ = *size;
+      return Progress::kFrame;
+    }
     if (*size > limits_.value || cursor_ + *size + 2 > limits_.frame) return broken("bulk string too long");
     in_bulk_ = true;
     bulk_size_ = *size;
@@ -96,10 +103,28 @@
   return Progress::kFrame;
 }
 
+std::string_view Reader::take_long() {
+  drop_consumed();
+  const std::string_view here(buffer_.data() + begin_, long_here());
+  long_left_ -= here.size();
+  consumed_ = here.size();
+  return here;
+}
+
 Progress Reader::next(Frame& frame) {
   if (fault_) return Progress::kBroken;
   drop_consumed();
   while (!started_ || wanted_ > 0) {
+    if (in_long_) {
+      if (long_left_ > 0) return Progress::kLong;
+      if (end_ - begin_ < 2) return Progress::kMore;
+      if (buffer_[begin_] != '\r' || buffer_[begin_ + 1] != '\n') return broken("bulk string without CR LF");
+      marks_.push_back({Kind::kBulk, 0, 0});
+      cursor_ += 2;
+      in_long_ = false;
+      --wanted_;
+      continue;
+    }
     if (in_bulk_) {
       if (end_ - begin_ < cursor_ + bulk_size_ + 2) return Progress::kMore;
       const char* after = buffer_.data() + begin_ + cursor_ + bulk_size_;
@@ -126,7 +151,7 @@
       }
     }
     if (const auto p = element(header); p != Progress::kFrame) return p;
-    if (!in_bulk_) --wanted_;
+    if (!in_bulk_ && !in_long_) --wanted_;
   }
   frame.array = array_;
   frame.items.clear();
--- a/src/resp/resp.h
+++ b/src/resp/resp.h
@@ -1,6 +1,7 @@
 // RESP2, strictly and in bounded memory: an incremental reader and a writer. Does no I/O.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -15,6 +16,9 @@
   std::size_t elements = 8;        // of an array
   std::size_t line = 1024;         // bytes of a line: a status, an error, a length
   std::size_t frame = 144 * 1024;  // bytes of a whole command or reply
+  // A value above `value` and up to this, first in an array, is given out in pieces and held nowhere. 0: none
+  // is.
+  std::size_t long_value = 0;
 };
 
 enum class Kind : std::uint8_t { kBulk, kNull, kSimple, kError, kInteger };
@@ -30,7 +34,12 @@
   std::vector<Item> items;
 };
 
-enum class Progress : std::uint8_t { kMore, kFrame, kBroken };
+enum class Progress : std::uint8_t {
+  kMore,
+  kFrame,
+  kBroken,
+  kLong  // a long value is under way: `long_left` and `take_long`, then `next` again
+};
 
 // Bytes go in through `space` and `commit`; `next` gives frame after frame. What a peer announces is checked
 // against the limits before any memory is set aside for it. Once broken, a reader stays broken.
@@ -43,6 +52,13 @@
   void commit(std::size_t bytes) { end_ += bytes; }
   Progress next(Frame& frame);
 
+  // Of a long value: its size, the bytes still to be taken, those of them that are here.
+  std::size_t long_size() const { return long_size_; }
+  std::size_t long_left() const { return long_left_; }
+  std::size_t long_here() const { return std::min(long_left_, end_ - begin_); }
+  // What is here of it. Lasts until the next call.
+  std::string_view take_long();
+
   bool empty() const { return begin_ + consumed_ == end_; }
   std::size_t held() const { return buffer_.size(); }
   const char* fault() const { return fault_; }
@@ -68,6 +84,8 @@
   std::size_t wanted_ = 0;  // elements still to come
   bool in_bulk_ = false;    // a bulk string's length is known, its bytes are awaited
   std::size_t bulk_size_ = 0;
+  bool in_long_ = false;
+  std::size_t long_size_ = 0, long_left_ = 0;
   std::vector<Mark> marks_;
   const char* fault_ = nullptr;
 };
--- a/stand_ins/program.h
+++ b/stand_ins/program.h
@@ -91,12 +91,9 @@
 class Program {
  public:
   Program(const std::string& program, const boost::json::object& conf,
-          std::vector<std::string> arguments = {})
+          std::vector<std::string> arguments = {}, std::vector<std::string> environment = {})
       : path_(file_for(conf)),
-        child_(command_of(program, std::move(arguments)),
-               {"EDGE_NAME=n0", "EDGE_LISTEN=127.0.0.1:0",
-                "EDGE_DISCOVERY=" + std::string(conf.at("discovery").as_string()),
-                "EDGE_CONFIG=" + path_.string()}),
+        child_(command_of(program, std::move(arguments)), environment_of(conf, std::move(environment))),
         admin_port_(conf.contains("admin") ? child_.port_after("operators call at") : 0),
         port_(child_.port_after("ready: n0")) {}
   ~Program() { std::filesystem::remove(path_); }
@@ -117,6 +114,16 @@
     arguments.insert(arguments.begin(), program);
     return arguments;
   }
+  // What `more` says comes first, and so holds.
+  std::vector<std::string> environment_of(const boost::json::object& conf,
+                                          std::vector<std::string> more) const {
+    for (auto text : {std::string("EDGE_NAME=n0"), std::string("EDGE_LISTEN=127.0.0.1:0"),
+                      "EDGE_DISCOVERY=" + std::string(conf.at("discovery").as_string()),
+                      "EDGE_CONFIG=" + path_.string()}) {
+      more.push_back(std::move(text));
+    }
+    return more;
+  }
   static std::filesystem::path file_for(const boost::json::object& conf) {
     static int started = 0;
     const auto name = "cometfold-" + std::to_string(::getpid()) + "-" + std::to_string(++started) + ".json";
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -13,7 +13,8 @@
 
 class Program : public stand_ins::Program {
  public:
-  explicit Program(const boost::json::object& conf) : stand_ins::Program(COMETFOLD_PROGRAM, conf) {}
+  explicit Program(const boost::json::object& conf, std::vector<std::string> environment = {})
+      : stand_ins::Program(COMETFOLD_PROGRAM, conf, {}, std::move(environment)) {}
 };
 
 }  // namespace thistlepond::net::testing
--- /dev/null
+++ b/tests/succession_test.cpp
@@ -0,0 +1,121 @@
+// One gateway's module takes another's place, and settings change under way.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "support.h"
+
+namespace thistlepond::testing {
+namespace {
+
+Settings with_ceiling() {
+  auto s = plain_settings(2);
+  s.plans[0] = {};
+  s.plans[0].quota_rate = 400;
+  s.plans[0].burst = 400;
+  s.plans[0].ceiling_rate = 20;
+  s.plans[0].ceiling_burst = 30;
+  return s;
+}
+
+// Whatever goes to which of the two, they give no more than one gateway would have.
+TEST(Succession, BothTogetherKeepTheCeiling) {
+  const auto settings = with_ceiling();
+  const double rate = 20 / 2.0, burst = 30 / 2.0;  // the slice of one of two gateways
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    Gateway first(settings, {host(1), host(2), host(3)}, 100000),
+        second(settings, {host(1), host(2), host(3)}, 100000, 9);
+    double given = 0;
+    RequestId id = 0;
+    const auto try_at = [&](Gateway& g) {
+      if (g.ask(++id)) given += 1;
+      g.answer_all(5);
+    };
+    const auto step = [&] { first.wait(10), second.wait(10); };
+    for (int i = 0; i < 300; ++i) {
+      step();
+      if (random() % 3 == 0) try_at(first);
+    }
+    first.out.take();
+    // Everything allowed up to here, and from here on.
+    const double before = given;
+    EXPECT_LE(before, burst + rate * 3 + 1);
+    const auto state = first.control.hand_over(first.now);
+    second.control.take_over(second.now, state);
+    given = 0;
+    const double left = state.customers.empty() ? burst : state.customers[0].ceiling / 0.8;
+    for (int i = 0; i < 300; ++i) {
+      step();
+      try_at(random() % 4 == 0 ? first : second);
+    }
+    EXPECT_LE(given, left + rate * 3 + 1e-6) << seed;
+    EXPECT_GE(given, rate * 3 * 0.8) << seed;  // and the second refills
+  }
+}
+
+TEST(Succession, ACustomerThatTheFirstDoesNotKnowHasItsCeilingAtTheSecondOnly) {
+  const auto settings = with_ceiling();
+  Gateway first(settings, {host(1)}, 100000), second(settings, {host(1)}, 100000, 9);
+  first.wait(10000), second.wait(10000);
+  second.control.take_over(second.now, first.control.hand_over(first.now));
+  EXPECT_FALSE(first.ask(1, 1, 2, 77));
+  first.wait(1000);
+  EXPECT_FALSE(first.ask(2, 1, 2, 77));
+  EXPECT_TRUE(second.ask(3, 1, 2, 77));
+}
+
+TEST(Succession, AFreshSecondWithoutStateHasAnEmptyCeiling) {
+  const auto settings = with_ceiling();
+  Gateway second(settings, {host(1)}, 100000);
+  EXPECT_FALSE(second.ask(1));
+}
+
+TEST(NewSettings, ALowerCeilingHoldsFromTheNextRequest) {
+  auto settings = with_ceiling();
+  Gateway g(settings, {host(1), host(2)}, 100000);
+  g.wait(10000);
+  EXPECT_TRUE(g.ask(1));
+  g.answer_all(5);
+  settings.plans[0].ceiling_burst = 4;  // a slice of two units
+  settings.plans[0].ceiling_rate = 0.001;
+  g.control.on_settings(g.now, settings);
+  int given = 0;
+  for (RequestId id = 2; id < 12; ++id) {
+    given += g.ask(id);
+    g.answer_all(5);
+  }
+  EXPECT_EQ(given, 2);
+}
+
+TEST(NewSettings, ClassesAreAddedUnderWayAndAHeldRequestKeepsItsRight) {
+  auto settings = plain_settings(1);
+  settings.plans[0].quota_rate = settings.plans[0].burst = 1000;
+  Gateway g(settings);
+  ASSERT_TRUE(g.ask(1));
+  settings.classes.push_back(settings.classes[0]);
+  settings.classes[1].repeat = Repeat::kUnsafe;
+  g.control.on_settings(g.now, settings);
+  const auto sent = *g.out.of(Act::kSend, 1);
+  g.out.take();
+  g.end(1, 0, sent.host, Outcome::kBroken);
+  EXPECT_NE(g.out.of(Act::kSend, 1), nullptr);  // safe: sent again
+  ASSERT_TRUE(g.ask(2, 1, 2, 5, 1));
+  const auto unsafe = *g.out.of(Act::kSend, 2);
+  g.out.take();
+  g.end(2, 0, unsafe.host, Outcome::kBroken);
+  EXPECT_EQ(g.out.of(Act::kSend, 2), nullptr);
+  EXPECT_NE(g.out.of(Act::kFail, 2), nullptr);
+}
+
+TEST(NewSettings, HostsThatLeaveAreAvoided) {
+  Gateway g(plain_settings());
+  EXPECT_EQ(g.control.avoided(g.now), 0u);
+  g.list(ListKind::kChanges, {host(2, HostState::kDraining)});
+  EXPECT_EQ(g.control.avoided(g.now), 1u);
+  g.list(ListKind::kChanges, {host(2, HostState::kGone)});
+  EXPECT_EQ(g.control.avoided(g.now), 0u);
+}
+
+}  // namespace
+}  // namespace thistlepond::testing
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,174 @@
+// A second process of the same gateway beside the first: who serves when, and what is handed over.
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "handover_state.h"
+#include "net_support.h"
+
+namespace thistlepond::net::testing {
+namespace {
+
+struct Directory {
+  std::filesystem::path path;
+  Directory() {
+    std::string name = (std::filesystem::temp_directory_path() / "cometfold-XXXXXX").string();
+    if (!::mkdtemp(name.data())) throw Hung("no directory");
+    path = name;
+  }
+  ~Directory() { std::filesystem::remove_all(path); }
+};
+
+struct Beside {
+  Listener host, discovery;
+  Directory directory;
+  boost::json::object conf;
+  Beside() : conf(config(list(7, true, {target("s-1", host.port())}), discovery.port())) {}
+  std::unique_ptr<Program> start() const {
+    return std::make_unique<Program>(conf, std::vector<std::string>{"TMPDIR=" + directory.path.string()});
+  }
+  void serve(Peer& client, unsigned n) {
+    client.send(query(n));
+    auto at = host.accept();
+    at.command();
+    at.send(served("v"));
+    EXPECT_EQ(client.reply(), "v");
+    at.close();
+  }
+};
+
+std::string ping(const Program& program) {
+  auto client = program.client();
+  client.send(command({"PING"}));
+  return client.reply();
+}
+
+TEST(Upgrade, TheSecondBeginsWhenTheFirstIsToldToEnd) {
+  Beside b;
+  auto first = b.start();
+  auto kept = first->client();
+  b.serve(kept, 1);
+  auto second = b.start();
+  first->log_until("a second process is there");
+  EXPECT_EQ(second->port(), first->port());
+  b.serve(kept, 2);  // still the first
+  std::vector<Peer> queued;
+  for (int i = 0; i < 20; ++i) queued.push_back(first->client());
+  first->terminate();
+  for (int i = 0; i < 20; ++i) queued.push_back(first->client());
+  for (auto& client : queued) {  // whoever accepted them: nobody is turned away
+    client.send(command({"PING"}));
+    EXPECT_EQ(client.reply(), "+PONG");
+  }
+  second->log_until("taken over: 1 customers");
+  b.serve(kept, 3);  // one more answer on a kept connection, then its end
+  EXPECT_TRUE(kept.ends());
+  queued.clear();
+  EXPECT_EQ(first->exit_code(), 0);
+  EXPECT_EQ(ping(*second), "+PONG");
+  auto third = b.start();  // and the next finds the second
+  second->log_until("a second process is there");
+  second->terminate();
+  third->log_until("taken over");
+  auto client = third->client();
+  b.serve(client, 4);
+}
+
+TEST(Upgrade, TheFirstDiesWithoutAWord) {
+  Beside b;
+  auto first = b.start();
+  auto second = b.start();
+  first.reset();  // SIGKILL
+  second->log_until("ended without a word");
+  auto client = second->client();
+  b.serve(client, 1);
+}
+
+TEST(Upgrade, TheSecondDiesAndTheFirstServesOn) {
+  Beside b;
+  auto first = b.start();
+  auto second = b.start();
+  first->log_until("a second process is there");
+  second.reset();  // SIGKILL
+  first->log_until("ended before it took over");
+  auto client = first->client();
+  b.serve(client, 1);
+  auto third = b.start();
+  first->log_until("a second process is there");
+  first->terminate();
+  third->log_until("taken over");
+  auto late = third->client();
+  b.serve(late, 2);
+}
+
+TEST(Upgrade, TheSecondIsToldToEndFirst) {
+  Beside b;
+  auto first = b.start();
+  auto second = b.start();
+  first->log_until("a second process is there");
+  second->terminate();
+  EXPECT_EQ(second->exit_code(), 0);
+  first->log_until("ended before it took over");
+  EXPECT_EQ(ping(*first), "+PONG");
+}
+
+TEST(Upgrade, AThirdProcessIsTurnedAway) {
+  Beside b;
+  auto first = b.start();
+  auto second = b.start();
+  first->log_until("a second process is there");
+  auto conf = b.conf;  // its own address is taken, and nobody gives it the socket
+  EXPECT_EQ(ping(*first), "+PONG");
+  const int taken = first->port();
+  conf["listen"] = "127.0.0.1:" + std::to_string(taken);
+  EXPECT_THROW(Program(conf, {"EDGE_LISTEN=127.0.0.1:" + std::to_string(taken)}), Hung);
+  EXPECT_EQ(ping(*first), "+PONG");
+}
+
+TEST(HandedState, ComesThroughInTheNumbersOfTheOther) {
+  const std::vector<std::string> classes{"a", "b"}, plans{"p", "q"};
+  const std::vector<std::string> their_classes{"c", "b"}, their_plans{"q"};
+  HandedState state{1500, {}};
+  state.customers.push_back({(1ULL << 33) - 1, 1, 2, 3.5, -4, 5, {6, 7}, 8, 9});
+  state.customers.push_back({7, 0, 1, 1, 1, 1, {1, 1}, 1, 1});
+  const std::vector<PlanSettings> settings(2);
+  const auto text = ops::encode(state, {classes, plans}, settings);
+  EXPECT_EQ(text.find('\n'), std::string::npos);
+  const auto got = ops::decode(text, {their_classes, their_plans});
+  EXPECT_EQ(got.age, 1500);
+  ASSERT_EQ(got.customers.size(), 1u);  // the other's plan is not there
+  EXPECT_EQ(got.customers[0].id, (1ULL << 33) - 1);
+  EXPECT_EQ(got.customers[0].plan, 0u);
+  EXPECT_EQ(got.customers[0].whole, -4);
+  EXPECT_EQ(got.customers[0].children, (std::vector<double>{3.5, 7}));
+}
+
+TEST(HandedState, WhatIsNoneIsRefused) {
+  const std::vector<std::string> names{"a"};
+  const ops::Names n{names, names};
+  for (const std::string bad :
+       {"", "{", "[]", "{}", R"({"version":2,"age_ms":0,"classes":[],"plans":[],"customers":[]})",
+        R"({"version":1,"age_ms":0,"classes":["a"],"plans":["a"],"customers":[[1,5,1,1,1,1,1,1,[]]]})",
+        R"({"version":1,"age_ms":0,"classes":["a"],"plans":["a"],"customers":[[1,0,1,1,1,1,1,1,[1,2]]]})",
+        R"({"version":1,"age_ms":0,"classes":["a"],"plans":["a"],"customers":[[-1,0,1,1,1,1,1,1,[]]]})",
+        R"({"version":1,"age_ms":0,"classes":["a"],"plans":["a"],"customers":[[1,0]]})"}) {
+    EXPECT_THROW(ops::decode(bad, n), ops::HandoverError) << bad;
+  }
+}
+
+TEST(HandedState, AboveTheBoundCustomersWithACeilingGoFirst) {
+  const std::vector<std::string> names{"soft", "hard"}, classes{"a"};
+  std::vector<PlanSettings> plans(2);
+  plans[1].ceiling_rate = 1;
+  HandedState state;
+  for (std::size_t i = 0; i < ops::kMostHanded + 10; ++i)
+    state.customers.push_back({.id = i, .children = {1}});
+  state.customers.back().plan = 1;
+  const auto got = ops::decode(ops::encode(state, {classes, names}, plans), {classes, names});
+  EXPECT_EQ(got.customers.size(), ops::kMostHanded);
+  EXPECT_EQ(got.customers.front().plan, 1u);
+}
+
+}  // namespace
+}  // namespace thistlepond::net::testing
