--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -167,9 +167,8 @@
   if (it == tries_.end()) return;
   const auto [request, index] = it->second;
   // A value that comes after the final answer goes nowhere.
-  const auto passing = asked_.at(request).passing;
-  if (passing) {
-    if (*passing == index) end_value(request, outcome);
+  if (passing(request)) {
+    if (asked_.at(request).passing == index) end_value(request, outcome);
   } else if (outcome == Outcome::kOk) {
     settle(request, &ClassFigures::passed,
            [&](FrontEnd& front, Ticket ticket) { front.served(now, ticket, value); });
@@ -182,8 +181,11 @@
   now_ = now;
   const auto it = tries_.find(attempt);
   if (it == tries_.end()) return;
-  const auto [request, index] = it->second;
-  Asked& r = asked_.at(request);
+  const RequestId request = it->second.first;
+  const std::uint32_t index = it->second.second;
+  const auto asked = asked_.find(request);
+  if (asked == asked_.end()) return;
+  Asked& r = asked->second;
   if (r.answered || r.passing) return;  // its pieces go nowhere
   r.passing = index;
   r.front->value_begun(now, r.ticket, size);
@@ -195,7 +197,9 @@
   now_ = now;
   const auto it = tries_.find(attempt);
   if (it == tries_.end()) return true;
-  Asked& r = asked_.at(it->second.first);
+  const auto asked = asked_.find(it->second.first);
+  if (asked == asked_.end()) return true;
+  Asked& r = asked->second;
   if (r.answered || r.passing != it->second.second) return true;
   return r.front->value_piece(now, r.ticket, bytes);
 }
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -24,7 +24,11 @@
   Listener host, discovery;
   Directory directory;
   boost::json::object conf;
-  Beside() : conf(config(list(7, true, {target("s-1", host.port())}), discovery.port())) {}
+  Beside() : conf(config(list(7, true, {target("s-1", host.port())}), discovery.port())) {
+    auto& plan = conf["settings"].as_object()["packages"].as_array()[0].as_object();
+    plan["quota_rate"] = 0.5;  // so that what a customer took is still missing at the handover
+    plan["burst"] = 100.0;
+  }
   std::unique_ptr<Program> start() const {
     return std::make_unique<Program>(conf, std::vector<std::string>{"TMPDIR=" + directory.path.string()});
   }
@@ -61,7 +65,7 @@
     client.send(command({"PING"}));
     EXPECT_EQ(client.reply(), "+PONG");
   }
-  second->log_until("taken over: 1 customers");
+  second->log_until("taken over: 2 customers");
   b.serve(kept, 3);  // one more answer on a kept connection, then its end
   EXPECT_TRUE(kept.ends());
   queued.clear();
