--- a/src/control/tuning.h
+++ b/src/control/tuning.h
@@ -64,7 +64,7 @@
 inline constexpr double kUsualUse = 1.25;  // slices asked for by the customer of a request drawn at random
 inline constexpr double kRareSkew =
     1.5;  // slices, of two: as likely a heavy customer as one that crowds this gateway
-inline constexpr double kMoreSkew = 1.0;          // and so many more for each further slice of the set
+inline constexpr double kMoreSkew = 0.3;          // and so many more for each further slice of the set
 inline constexpr double kMostSkewed = 4;          // gateways: beyond, crowding one of them grows no further
 inline constexpr std::size_t kRankSamples = 512;  // requests that worth is ranked among
 inline constexpr Ms kDoneMemoryMs = 1500;         // completions of hosts: short, as a stall must show
