--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -78,14 +78,15 @@
 }
 
 Processor::Processor(engine::Engine& engine, Names names, Settings settings, std::uint64_t seed)
-    : engine_(engine), names_(std::move(names)), seed_(seed) {
-  reload(std::move(settings));
+    : engine_(engine), seed_(seed) {
+  reload(std::move(settings), std::move(names));
 }
 Processor::~Processor() = default;
 
-void Processor::reload(Settings settings) {
-  check(settings, names_);
-  auto mapper = std::make_shared<const Mapper>(settings.mapping, names_, seed_);
+void Processor::reload(Settings settings, Names names) {
+  check(settings, names);
+  auto mapper = std::make_shared<const Mapper>(settings.mapping, names, seed_);
+  names_ = std::move(names);
   settings_ = std::make_shared<const Settings>(std::move(settings));
   mapper_ = std::move(mapper);
 }
--- a/src/extproc/processor.h
+++ b/src/extproc/processor.h
@@ -66,8 +66,9 @@
 
   // A host that may be named from now on, until the engine retires it. Before `Engine::on_list`.
   void add(HostId host, std::string endpoint);
-  // Other settings for calls from now on. Throws SettingsError, and keeps what it has.
-  void reload(Settings settings);
+  // Other settings and names for calls from now on; a class or plan must keep its number. Throws
+  // SettingsError, and keeps what it has.
+  void reload(Settings settings, Names names);
 
   // When `run_due` has something to do; nothing if never.
   std::optional<Ms> next_due() const;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -8,7 +8,6 @@
 #include "figures.h"
 #include "handover_state.h"
 #include "log.h"
-#include "numbering.h"
 #include "settings.h"
 
 namespace thistlepond::net {
@@ -248,13 +247,16 @@
 
 // Danger: nothing may be changed before all of it is known to be good.
 void Gateway::reload(const Config& config) {
-  if (config.settings_text != config_.settings_text) take_settings(config);
+  const bool anew = config.settings_text != config_.settings_text;
+  settings::Numbered numbered{config_.class_names, config_.plan_names, config_.settings};
+  if (anew) numbered = settings::renumber(numbered, {config.class_names, config.plan_names, config.settings});
+  if (processor_) processor_->reload(config, {numbered.classes, numbered.plans, numbered.settings});
+  if (anew) take_settings(config, numbered);
   if (config.discovery != config_.discovery) {
     config_.discovery = config.discovery;
     discovery_.move(config.discovery);
     log_line("discovery is now at", config.discovery.address().to_string());
   }
-  if (processor_) processor_->reload(config);
   if (config.own.processor_at.has_value() != (processor_ != nullptr)) {
     log_line("switching the external processor on or off needs a restart");
   }
@@ -266,20 +268,26 @@
 }
 
 // Requests under way keep their class, by its number; commands from now on are read with the new names.
-void Gateway::take_settings(const Config& config) {
-  const auto merged = settings::renumber({config_.class_names, config_.plan_names, config_.settings},
-                                         {config.class_names, config.plan_names, config.settings});
+void Gateway::take_settings(const Config& config, const settings::Numbered& numbered) {
   config_.settings_text = config.settings_text;
-  config_.settings = merged.settings;
-  config_.class_names = merged.classes;
-  config_.plan_names = merged.plans;
+  config_.settings = numbered.settings;
+  config_.class_names = numbered.classes;
+  config_.plan_names = numbered.plans;
   config_.max_open = config.max_open;
-  class_labels_.resize(merged.classes.size());
-  for (std::size_t i = 0; i < merged.classes.size(); ++i) {
-    if (!merged.classes[i].empty()) class_labels_[i] = merged.classes[i];
+  config_.conn_idle_ms = config.conn_idle_ms;
+  config_.connect_timeout_ms = config.connect_timeout_ms;
+  // Hosts in the list go by these numbers too.
+  settings::extend(config_.kinds, config.kinds);
+  settings::extend(config_.zones, config.zones);
+  if (config.settings.my_zone < config.zones.size()) {
+    config_.settings.my_zone = index_of(config_.zones, config.zones[config.settings.my_zone]);
+  }
+  class_labels_.resize(numbered.classes.size());
+  for (std::size_t i = 0; i < numbered.classes.size(); ++i) {
+    if (!numbered.classes[i].empty()) class_labels_[i] = numbered.classes[i];
   }
   module_.on_settings(clock_.now(), config_.settings);
-  engine_.set_limits(engine_limits(config_));
+  share_limits(sharing_);  // with the new settings' bounds
   front_.set_names(names_of(config_));
   log_line("new settings are in use", std::to_string(config.class_names.size()) + " classes, " +
                                           std::to_string(config.plan_names.size()) + " plans");
@@ -288,6 +296,7 @@
 // ---- an upgrade ----
 
 void Gateway::share_limits(bool shared) {
+  sharing_ = shared;
   Config mine = config_;
   if (shared) {
     mine.sockets /= 2;
@@ -344,7 +353,7 @@
 // closed when they have stood long enough, as ever.
 void Gateway::hand_over() {
   handed_over_ = true;
-  handover_->hand_over(ops::encode(module_.hand_over(clock_.now()), {class_labels_, config_.plan_names},
+  handover_->hand_over(ops::encode(module_.hand_over(clock_.now()), {config_.class_names, config_.plan_names},
                                    config_.settings.plans));
   clients_.leave_queue();
   clients_.set_draining(true);
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -21,6 +21,7 @@
 #include "handover.h"
 #include "hosts.h"
 #include "module.h"
+#include "numbering.h"
 #include "processor_server.h"
 
 namespace thistlepond::net {
@@ -64,7 +65,7 @@
   bool ready() const override;
   std::string figures() override;
   void set_draining(bool on) override;
-  void take_settings(const Config& config);
+  void take_settings(const Config& config, const settings::Numbered& numbered);
   void open_to_clients();
   void open_to_proxies();
   void take_over(const std::string& state);
@@ -108,6 +109,7 @@
   bool told_ = false;       // discovery has spoken, or had its time to
   bool handed_to_ = false;  // a process before this one had the clients
   bool handed_over_ = false;
+  bool sharing_ = false;                   // with another process of this gateway
   std::vector<std::string> class_labels_;  // by number; of withdrawn classes too
   std::uint64_t loads_ = 0, load_errors_ = 0;
   bool draining_ = false;
--- a/src/net/processor_server.cpp
+++ b/src/net/processor_server.cpp
@@ -25,9 +25,9 @@
   log_line("external processor", at.address().to_string() + ":" + std::to_string(at.port()));
 }
 
-void ProcessorServer::reload(const Config& config) {
+void ProcessorServer::reload(const Config& config, extproc::Names names) {
   if (config.own.processor_at != at_) log_line("another address for the external processor needs a restart");
-  processor_.reload(config.own.processor);
+  processor_.reload(config.own.processor, std::move(names));
 }
 
 }  // namespace thistlepond::net
--- a/src/net/processor_server.h
+++ b/src/net/processor_server.h
@@ -26,7 +26,7 @@
   GrpcListener& listener() { return listener_; }
   extproc::Processor& processor() { return processor_; }
   // Throws extproc::SettingsError and keeps what it has.
-  void reload(const Config& config);
+  void reload(const Config& config, extproc::Names names);
   void run_due(Ms now) { processor_.run_due(now); }
 
  private:
--- a/src/ops/handover_state.cpp
+++ b/src/ops/handover_state.cpp
@@ -72,6 +72,9 @@
   const auto rank = [&](const CustomerState* c) {
     return std::pair(c->plan < plans.size() && plans[c->plan].ceiling_rate > 0 ? 0 : 1, c->unseen);
   };
+  // Danger: one left out would be taken for new, and have a ceiling that is full. Told that the gateway is
+  // young, the other starts the ceilings of those it does not know empty.
+  const Ms age = order.size() > kMostHanded ? 0 : state.age;
   if (order.size() > kMostHanded) {
     std::sort(order.begin(), order.end(), [&](auto* a, auto* b) { return rank(a) < rank(b); });
     order.resize(kMostHanded);
@@ -79,7 +82,7 @@
   json::array customers;
   for (const auto* c : order) customers.push_back(customer(*c));
   return json::serialize(json::object{{"version", kVersion},
-                                      {"age_ms", state.age},
+                                      {"age_ms", age},
                                       {"classes", words(names.classes)},
                                       {"plans", words(names.plans)},
                                       {"customers", std::move(customers)}});
--- a/src/ops/handover_state.h
+++ b/src/ops/handover_state.h
@@ -20,8 +20,8 @@
   std::span<const std::string> classes, plans;
 };
 
-constexpr std::size_t kMostHanded = 50'000;  // customers; those with a ceiling to keep go first
-constexpr std::size_t kMostHandedBytes = 32 * 1024 * 1024;  // of the text
+constexpr std::size_t kMostHanded = 20'000;  // customers; those with a ceiling to keep go first
+constexpr std::size_t kMostHandedBytes = 8 * 1024 * 1024;  // of the text
 
 // One line of JSON without its end.
 std::string encode(const HandedState& state, const Names& names, std::span<const PlanSettings> plans);
--- a/src/settings/numbering.cpp
+++ b/src/settings/numbering.cpp
@@ -70,4 +70,11 @@
   return merged;
 }
 
+void extend(std::vector<std::string>& names, const std::vector<std::string>& fresh) {
+  for (const auto& name : fresh) {
+    if (names.size() >= kMost) return;
+    if (std::find(names.begin(), names.end(), name) == names.end()) names.push_back(name);
+  }
+}
+
 }  // namespace thistlepond::settings
--- a/src/settings/numbering.h
+++ b/src/settings/numbering.h
@@ -27,4 +27,8 @@
 // as they were get their number back. Throws TooMany above 1,024 classes or plans, withdrawn ones included.
 Numbered renumber(const Numbered& before, const Numbered& fresh);
 
+// Names that are not there yet are added behind. At most 1,024 altogether; more are left out, and so are
+// unknown.
+void extend(std::vector<std::string>& names, const std::vector<std::string>& fresh);
+
 }  // namespace thistlepond::settings
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -269,6 +269,12 @@
   EXPECT_EQ(back.classes, (std::vector<std::string>{"a", "b", "", ""}));
 }
 
+TEST(Numbering, NamesOfZonesStayWhereTheyAre) {
+  std::vector<std::string> zones{"a", "b"};
+  settings::extend(zones, {"c", "a"});
+  EXPECT_EQ(zones, (std::vector<std::string>{"a", "b", "c"}));
+}
+
 TEST(Numbering, IsBounded) {
   settings::Numbered now{{"c"}, {"p"}, {}};
   now.settings.classes = {kind(Repeat::kSafe, 1)};
--- a/tests/processor_program_test.cpp
+++ b/tests/processor_program_test.cpp
@@ -63,6 +63,11 @@
             "EDGE_CONFIG=" + path_.string()};
   }
 
+  void reload(const boost::json::object& conf) {
+    std::ofstream(path_) << boost::json::serialize(conf);
+    child->signal(SIGHUP);
+  }
+
  private:
   std::filesystem::path path_;
 
@@ -219,6 +224,25 @@
   EXPECT_TRUE(open.heard->messages.back().has_response_headers());
 }
 
+TEST(ProcessorProgram, NewSettingsHoldForProxiesTooOrNotAtAll) {
+  const OwnFile file(own("[extproc.request]\ndefault_class = \"lookup\"\n"));
+  Processor program(file);
+  Proxy proxy(program.port);
+  auto conf = two_hosts();
+  auto& lanes = conf["settings"].as_object()["lanes"].as_array();
+  lanes.erase(lanes.begin());
+  program.reload(conf);  // the default class would be gone
+  EXPECT_NE(program.child->log_until("the old one is kept").find("no class 'lookup'"), std::string::npos);
+  EXPECT_TRUE(Proxy::named(proxy.ask("lookup", "a")));
+  file.write(own());
+  lanes[1].as_object()["name"] = "audit";  // pay goes too
+  program.reload(conf);
+  program.child->log_until("configuration read again");
+  EXPECT_EQ(Proxy::answered(proxy.ask("lookup", "b")), 400);
+  EXPECT_EQ(Proxy::answered(proxy.ask("pay", "c")), 400);
+  EXPECT_TRUE(Proxy::named(proxy.ask("audit", "d")));
+}
+
 TEST(ProcessorProgram, AfterAKillNothingIsGivenTwiceThatItsClassForbids) {
   const OwnFile file(own());
   auto program = std::make_unique<Processor>(file);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -166,12 +166,14 @@
   std::vector<PlanSettings> plans(2);
   plans[1].ceiling_rate = 1;
   HandedState state;
+  state.age = 1e6;
   for (std::size_t i = 0; i < ops::kMostHanded + 10; ++i)
     state.customers.push_back({.id = i, .children = {1}});
   state.customers.back().plan = 1;
   const auto got = ops::decode(ops::encode(state, {classes, names}, plans), {classes, names});
   EXPECT_EQ(got.customers.size(), ops::kMostHanded);
   EXPECT_EQ(got.customers.front().plan, 1u);
+  EXPECT_EQ(got.age, 0);  // those left out must not have a full ceiling
 }
 
 }  // namespace
