--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "backoff.h"
 #include "log.h"
 
 namespace thistlepond::net {
@@ -25,7 +26,10 @@
 constexpr auto kConnectWithin = 1s;
 constexpr auto kSilent = 5s;    // a live watch sends a line every 2 s
 constexpr auto kCatchUp = 10s;  // by then two agents that tell of the same fleet agree
-constexpr std::chrono::milliseconds kFirstPause = 50ms, kLongestPause = 1000ms;
+// It answers, and does not give the list now.
+struct TurnedAway : ListError {
+  using ListError::ListError;
+};
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
 const json::value& need(const json::object& object, const char* key) {
@@ -140,14 +144,18 @@
 };
 
 asio::awaitable<void> Discovery::Watch::run([[maybe_unused]] std::shared_ptr<Watch> self) {
-  auto pause = kFirstPause;
+  Backoff backoff;
   while (!dropped_) {
     heard_ = false;
     std::string why;
+    bool away = false;
     try {
       if (!version_) co_await fetch();
       if (!dropped_) co_await follow();
       why = "ended";
+    } catch (const TurnedAway& error) {
+      why = error.what();
+      away = true;
     } catch (const boost::system::system_error& error) {
       why = error.code().message();
     } catch (const std::exception& error) {
@@ -156,7 +164,9 @@
     if (dropped_ || last_) break;
     log_line("the watch of discovery broke", why);
     // The pause is drawn, so that gateways that lost discovery together do not come back together.
-    pause = heard_ ? kFirstPause : std::min(pause * 2, kLongestPause);
+    const auto pause = backoff.next(heard_ ? WatchEnd::kHeard
+                                    : away ? WatchEnd::kTurnedAway
+                                           : WatchEnd::kBroken);
     pause_timer_.expires_after(
         pause / 2 + std::chrono::milliseconds(owner_.random_() % static_cast<unsigned>(pause.count())));
     boost::system::error_code stopped;
@@ -200,7 +210,7 @@
   co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
   if (dropped_) co_return;
   if (parser.get().result() != http::status::ok)
-    throw ListError("discovery answered another status than 200");
+    throw TurnedAway("discovery answered another status than 200");
   take_list(parser.get().body());
 }
 
@@ -213,7 +223,7 @@
   parser.body_limit(boost::none);
   co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
   if (parser.get().result() != http::status::ok)
-    throw ListError("discovery answered another status than 200");
+    throw TurnedAway("discovery answered another status than 200");
 
   std::string text;
   std::array<char, 16 * 1024> part;
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -1,6 +1,11 @@
 // A new configuration under load: SIGHUP, and what discovery tells at two addresses meanwhile.
+#include <deque>
+#include <map>
+#include <random>
 #include <string>
+#include <vector>
 
+#include "backoff.h"
 #include "net_support.h"
 
 namespace thistlepond::net::testing {
@@ -73,5 +78,39 @@
   EXPECT_FALSE(first.waiting(0));
 }
 
+// A fleet that was killed at once, and a discovery that turns all away while more than so many call in a
+// second.
+TEST(Backoff, AFleetThatIsTurnedAwayGetsThrough) {
+  constexpr int kFleet = 48, kMostASecond = 20;
+  std::mt19937 random(5);
+  std::vector<Backoff> waits(kFleet);
+  std::multimap<double, int> calls;
+  for (int i = 0; i < kFleet; ++i) calls.emplace(random() % 100, i);
+  std::deque<double> last_second;
+  double done_at = 0;
+  int left = kFleet;
+  while (left > 0 && done_at < 60'000) {
+    const auto [now, who] = *calls.begin();
+    calls.erase(calls.begin());
+    done_at = now;
+    last_second.push_back(now);
+    while (last_second.front() < now - 1000) last_second.pop_front();
+    if (last_second.size() <= kMostASecond) {
+      --left;
+      continue;
+    }
+    const auto pause = static_cast<double>(waits[who].next(WatchEnd::kTurnedAway).count());
+    calls.emplace(now + pause / 2 + random() % static_cast<unsigned>(pause), who);
+  }
+  EXPECT_EQ(left, 0);
+  EXPECT_LT(done_at, 15'000);
+}
+
+TEST(Backoff, OneWhoseAgentIsDownComesBackWithinTwoSeconds) {
+  Backoff wait;
+  for (int i = 0; i < 20; ++i) EXPECT_LE(wait.next(WatchEnd::kBroken).count(), 1000);
+  EXPECT_EQ(wait.next(WatchEnd::kHeard), Backoff::kFirst);
+}
+
 }  // namespace
 }  // namespace thistlepond::net::testing
