--- a/src/ops/handover_state.h
+++ b/src/ops/handover_state.h
@@ -20,7 +20,7 @@
   std::span<const std::string> classes, plans;
 };
 
-constexpr std::size_t kMostHanded = 20'000;  // customers; those with a ceiling to keep go first
+constexpr std::size_t kMostHanded = 20'000;                // customers; those with a ceiling to keep go first
 constexpr std::size_t kMostHandedBytes = 8 * 1024 * 1024;  // of the text
 
 // One line of JSON without its end.
