--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -31,41 +31,40 @@
   return ::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == ::getuid();
 }
 
-union Control {
-  char bytes[CMSG_SPACE(sizeof(int))];
-  cmsghdr align;
-};
+// One byte with room for one descriptor beside it, for sendmsg and recvmsg. Stays where it is.
+struct Parcel {
+  Parcel() {
+    message.msg_iov = &data;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+  }
+  Parcel(const Parcel&) = delete;
+  Parcel& operator=(const Parcel&) = delete;
 
-bool send_descriptor(int over, int fd) {
-  char byte = kHello;
+  char byte = 0;
   iovec data{&byte, 1};
-  Control control{};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
   msghdr message{};
-  message.msg_iov = &data;
-  message.msg_iovlen = 1;
-  message.msg_control = control.bytes;
-  message.msg_controllen = sizeof control.bytes;
-  cmsghdr* head = CMSG_FIRSTHDR(&message);
+};
+
+bool send_descriptor(int over, int fd) {
+  Parcel parcel;
+  parcel.byte = kHello;
+  cmsghdr* head = CMSG_FIRSTHDR(&parcel.message);
   head->cmsg_level = SOL_SOCKET;
   head->cmsg_type = SCM_RIGHTS;
   head->cmsg_len = CMSG_LEN(sizeof(int));
   std::memcpy(CMSG_DATA(head), &fd, sizeof fd);
-  return ::sendmsg(over, &message, MSG_NOSIGNAL) == 1;
+  return ::sendmsg(over, &parcel.message, MSG_NOSIGNAL) == 1;
 }
 
 OwnedFd receive_descriptor(int over) {
   pollfd wait{over, POLLIN, 0};
   if (::poll(&wait, 1, kAnswerWithinMs) <= 0) return OwnedFd();
-  char byte = 0;
-  iovec data{&byte, 1};
-  Control control{};
-  msghdr message{};
-  message.msg_iov = &data;
-  message.msg_iovlen = 1;
-  message.msg_control = control.bytes;
-  message.msg_controllen = sizeof control.bytes;
-  if (::recvmsg(over, &message, MSG_CMSG_CLOEXEC) != 1 || byte != kHello) return OwnedFd();
-  const cmsghdr* head = CMSG_FIRSTHDR(&message);
+  Parcel parcel;
+  if (::recvmsg(over, &parcel.message, MSG_CMSG_CLOEXEC) != 1 || parcel.byte != kHello) return OwnedFd();
+  const cmsghdr* head = CMSG_FIRSTHDR(&parcel.message);
   if (!head || head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS ||
       head->cmsg_len != CMSG_LEN(sizeof(int))) {
     return OwnedFd();
