Each refusal tells its cause, to the engine's figures and to operators

The module names a cause with each refusal and failure (Cause), the engine counts them, and /_vars gives them as edge_edge.given_up.CAUSE.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -123,12 +123,12 @@
   put(r, 1, request);
   put(r, 9, static_cast<std::uint8_t>(attempt));
 }
-void Reply::Sink::refuse(RequestId request, Ms retry_after) {
+void Reply::Sink::refuse(RequestId request, Ms retry_after, Cause) {
   auto* r = reply_.add(instance_, kSayNo);
   put(r, 1, request);
   put(r, 9, retry_after);
 }
-void Reply::Sink::fail(RequestId request) { put(reply_.add(instance_, kReportFailure), 1, request); }
+void Reply::Sink::fail(RequestId request, Cause) { put(reply_.add(instance_, kReportFailure), 1, request); }
 void Reply::Sink::wake(Ms after, std::uint64_t token) {
   auto* r = reply_.add(instance_, kWakeMe);
   put(r, 1, after);
--- a/adapter/codec.h
+++ b/adapter/codec.h
@@ -34,8 +34,8 @@
     Sink(Reply& reply, std::uint32_t instance) : reply_(reply), instance_(instance) {}
     void send(RequestId request, HostId host, Ms give_up_after) override;
     void cancel(RequestId request, std::uint32_t attempt) override;
-    void refuse(RequestId request, Ms retry_after) override;
-    void fail(RequestId request) override;
+    void refuse(RequestId request, Ms retry_after, Cause why) override;
+    void fail(RequestId request, Cause why) override;
     void wake(Ms after, std::uint64_t token) override;
     void probe(HostId host) override;
     void follow_list() override;
--- a/bench/action_stream.cpp
+++ b/bench/action_stream.cpp
@@ -129,8 +129,8 @@
     push(now_ + e.took_ms, {.kind = Happening::kEnd, .end = e});
   }
   void cancel(RequestId r, std::uint32_t a) override { note_action(1, r << 8 | a, 0); }
-  void refuse(RequestId r, Ms t) override { note_action(2, r, t); }
-  void fail(RequestId r) override { note_action(3, r, 0); }
+  void refuse(RequestId r, Ms t, Cause) override { note_action(2, r, t); }
+  void fail(RequestId r, Cause) override { note_action(3, r, 0); }
   void wake(Ms t, std::uint64_t token) override {
     note_action(4, token, t);
     push(now_ + t, {.kind = Happening::kTimer, .token = token});
--- a/bench/micro_bench.cpp
+++ b/bench/micro_bench.cpp
@@ -30,8 +30,8 @@
   HostId host = 0;
   void send(RequestId, HostId h, Ms) override { host = h; }
   void cancel(RequestId, std::uint32_t) override {}
-  void refuse(RequestId, Ms) override {}
-  void fail(RequestId) override {}
+  void refuse(RequestId, Ms, Cause) override {}
+  void fail(RequestId, Cause) override {}
   void wake(Ms, std::uint64_t) override {}
   void probe(HostId) override {}
   void follow_list() override {}
--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <span>
@@ -121,14 +122,33 @@
   LoadReport load;
 };
 
+// Why a request is refused or given up, in the module's own terms.
+enum class Cause : std::uint8_t {
+  kMalformed,  // a class or plan that is not in the settings
+  kCeiling,    // the ceiling's slice does not hold its units
+  kOpen,       // the customer has as many attempts out as its slice of the plan's allows
+  kParent,     // the customer's slice is dry
+  kChild,      // its class's part of the slice is
+  kBeyond,     // the slice tells too little, and by what the customer asked here it is beyond its quota
+  kShed,       // the back end is pressed, and others are worth more
+  kNoHost,     // no host is listed that takes anything
+  kHostsFull,  // each host is at its bound, cold or ejected
+  kEnded,      // attempts were made, none was answered well, and no further one is made
+  kLate,       // its time is up
+};
+inline constexpr std::string_view kCauseNames[] = {"malformed", "ceiling", "open", "parent",
+                                                   "child",     "beyond",  "shed", "no_host",
+                                                   "hosts_full", "ended",  "late"};
+inline constexpr std::size_t kCauses = std::size(kCauseNames);
+
 // What the module wants done. Actions are carried out in the order of the calls.
 class Actions {
  public:
   virtual ~Actions() = default;
   virtual void send(RequestId request, HostId host, Ms give_up_after) = 0;
   virtual void cancel(RequestId request, std::uint32_t attempt) = 0;
-  virtual void refuse(RequestId request, Ms retry_after) = 0;
-  virtual void fail(RequestId request) = 0;
+  virtual void refuse(RequestId request, Ms retry_after, Cause why) = 0;
+  virtual void fail(RequestId request, Cause why) = 0;
   virtual void wake(Ms after, std::uint64_t token) = 0;
   virtual void probe(HostId host) = 0;
   virtual void follow_list() = 0;
--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -64,14 +64,20 @@
   return std::none_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out || a.may_have_run; });
 }
 
-void Control::State::finish(Held& r, Ms retry_after, Actions& out) {
+// Why no host takes a request.
+Cause Control::State::no_room() const {
+  const bool any = std::any_of(hosts.begin(), hosts.end(), [&](auto& h) { return usable(h.second); });
+  return any ? Cause::kHostsFull : Cause::kNoHost;
+}
+
+void Control::State::finish(Held& r, Ms retry_after, Cause why, Actions& out) {
   if (r.over) return;
   r.over = true;
   if (may_refuse(r)) {
     const double top = set.retry_after ? set.max_retry_after_ms : 0;
-    out.refuse(r.ask.id, std::clamp(finite(retry_after, top), 0.0, top));
+    out.refuse(r.ask.id, std::clamp(finite(retry_after, top), 0.0, top), why);
   } else {
-    out.fail(r.ask.id);
+    out.fail(r.ask.id, why);
   }
   for (std::uint32_t i = 0; i < r.attempts.size(); ++i) call_off(r, i, out);
   forget_if_done(r.ask.id);
@@ -120,7 +126,7 @@
 
 void Control::State::due(Held& r, Actions& out) {
   if (r.over || r.streaming) return;
-  if (now >= r.ask.expires_at - set.tick_ms) return finish(r, 0, out);
+  if (now >= r.ask.expires_at - set.tick_ms) return finish(r, 0, Cause::kLate, out);
   const bool late = now + kTokenDust >= r.attempts.back().sent + patience(r) && !pressed();
   if (r.out() == 1 && (late || (r.attempts.back().bad && !jammed())) && worth_trying(r)) {
     const auto last = static_cast<std::uint32_t>(r.attempts.size() - 1);
--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -124,15 +124,19 @@
   return limit > 0 && c.open >= std::max(1.0, std::ceil(limit / c.spread - kTokenDust));
 }
 
-bool Control::State::quota_has(Customer& c, const Request& q) {
+// Why this request is not inside what its customer's slice holds; nothing if it is.
+std::optional<Cause> Control::State::quota_lacks(Customer& c, const Request& q) {
   const auto& p = set.plans[c.plan];
-  if (capped(c)) return false;
-  if (p.quota_rate <= 0) return true;
+  if (capped(c)) return Cause::kOpen;
+  if (p.quota_rate <= 0) return {};
   Child& child = c.children[q.class_index];
   c.parent.refill(now);
   child.bucket.refill(now);
   const bool part = c.parent.volume < q.units;  // a slice of less than this request proves nothing
-  return c.parent.has(q.units) && child.bucket.has(q.units) && (!part || beyond_worth(c, q) >= 0);
+  if (!c.parent.has(q.units)) return Cause::kParent;
+  if (!child.bucket.has(q.units)) return Cause::kChild;
+  if (part && beyond_worth(c, q) < 0) return Cause::kBeyond;
+  return {};
 }
 
 // The time that the memory of demand covers: a gateway that has just started has seen little of anyone.
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -13,24 +13,25 @@
   c.ceiling.refill(now);
   if (p.ceiling_rate > 0 && c.ceiling.level + kTokenDust < q.units) {  // never in debt
     note(out, "ceiling reached");
-    return finish(r, c.ceiling.wait_for(q.units), out);
+    return finish(r, c.ceiling.wait_for(q.units), Cause::kCeiling, out);
   }
   c.parent.refill(now);
   c.demand += q.units;
-  r.inside = quota_has(c, q);
+  const auto lacks = quota_lacks(c, q);
+  r.inside = !lacks;
   const bool tells = c.parent.volume >= q.units;  // a slice below one request proves nothing
   const double worth = r.inside && tells ? 1 : beyond_worth(c, q);
   if (!r.inside && ((tells ? pressed() : jammed()) || worth < 0)) {
-    return finish(r, c.parent.wait_for(q.units), out);
+    return finish(r, c.parent.wait_for(q.units), worth < 0 ? Cause::kBeyond : *lacks, out);
   }
   const double work = class_time(q.class_index) / std::max(class_units[q.class_index], kTokenDust);
   if (shed(p.pays * cls(r).worth * worth / work, work * q.units)) {
     note(out, "back end pressed: shedding by worth");
-    return finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), out);
+    return finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), Cause::kShed, out);
   }
   if (!send(r, out)) {
     note(out, "no host has room");
-    return finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), out);
+    return finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), no_room(), out);
   }
   look_around(out);
   r.drew = true;
@@ -201,7 +202,7 @@
     if (send_again(r, out)) {
       arm(r, out);
     } else {
-      finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), out);
+      finish(r, set.max_retry_after_ms * (0.5 + draw() / 2), Cause::kEnded, out);
       return;
     }
   }
@@ -282,7 +283,7 @@
   q.spread = finite(q.spread, 1, 1);
   q.expires_at = finite(q.expires_at, now, -kNoTime);
   if (q.class_index >= s.set.classes.size() || q.plan_index >= s.set.plans.size()) {
-    out.refuse(q.id, 0);  // nothing was sent, so a refusal is safe
+    out.refuse(q.id, 0, Cause::kMalformed);  // nothing was sent, so a refusal is safe
     return;
   }
   Held& r = s.held[q.id];
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -68,7 +68,7 @@
   bool like_new(Customer& c);
   void lend();
   bool capped(const Customer& c) const;
-  bool quota_has(Customer& c, const Request& q);
+  std::optional<Cause> quota_lacks(Customer& c, const Request& q);
   Ms memory(const Customer& c) const;
   Ms exposure(const Customer& c) const;
   double rare_skew(const Customer& c, const Request& q) const;
@@ -103,7 +103,8 @@
 
   // ---- further attempts and final answers ----
   bool may_refuse(const Held& r) const;
-  void finish(Held& r, Ms retry_after, Actions& out);
+  void finish(Held& r, Ms retry_after, Cause why, Actions& out);
+  Cause no_room() const;
   void call_off(Held& r, std::uint32_t i, Actions& out);
   void forget_if_done(RequestId id);
   bool worth_trying(const Held& r) const;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -67,6 +67,7 @@
   const std::size_t bytes = ask.payload->bytes();
   if (owed_ >= limits_.open || held_bytes_ + bytes > limits_.bytes) {
     ++figures_of(ask.request.class_index).dropped;
+    ++causes_.no_room_here;
     return Taken::kNoRoom;
   }
   const RequestId id = ++last_request_;
@@ -140,14 +141,22 @@
   return it != asked_.end() && it->second.passing;
 }
 
-void Engine::refuse(RequestId request, Ms retry_after) {
+// Counts why a request is given up, if that is its answer.
+void Engine::give_up(RequestId request, Cause why) {
+  const auto it = asked_.find(request);
+  if (it != asked_.end() && !it->second.answered) ++causes_.by_cause[static_cast<std::size_t>(why)];
+}
+
+void Engine::refuse(RequestId request, Ms retry_after, Cause why) {
   if (passing(request)) return;
+  give_up(request, why);
   settle(request, &ClassFigures::dropped,
          [&](FrontEnd& front, Ticket ticket) { front.refused(now_, ticket, retry_after); });
 }
 
-void Engine::fail(RequestId request) {
+void Engine::fail(RequestId request, Cause why) {
   if (passing(request)) return;
+  give_up(request, why);
   settle(request, &ClassFigures::failed,
          [&](FrontEnd& front, Ticket ticket) { front.failed(now_, ticket, Failure::kGivenUp); });
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -14,6 +14,7 @@
 // makes outward, except where stated. Not safe for threads.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -123,6 +124,12 @@
   kNoRoom,  // Limits: nothing done
 };
 
+// Requests refused or given up since the start, by the module's reasons; those that found no room here.
+struct CauseFigures {
+  std::array<std::uint64_t, kCauses> by_cause{};
+  std::uint64_t no_room_here = 0;
+};
+
 // Counts since the start, of one class.
 struct ClassFigures {
   std::uint64_t passed = 0;   // served
@@ -181,6 +188,7 @@
   void on_written(AttemptId attempt);
   // By class number; a class that never had a request may be missing.
   const std::vector<ClassFigures>& figures() const { return figures_; }
+  const CauseFigures& causes() const { return causes_; }
   // New bounds, for what is taken from now on.
   void set_limits(const Limits& limits) { limits_ = limits; }
 
@@ -228,8 +236,8 @@
   // Actions
   void send(RequestId request, HostId host, Ms give_up_after) override;
   void cancel(RequestId request, std::uint32_t attempt) override;
-  void refuse(RequestId request, Ms retry_after) override;
-  void fail(RequestId request) override;
+  void refuse(RequestId request, Ms retry_after, Cause why) override;
+  void fail(RequestId request, Cause why) override;
   void wake(Ms after, std::uint64_t token) override;
   void probe(HostId) override {}  // ruled out: the settings never allow it
   void follow_list() override {}  // the list is always followed, and comes back by itself
@@ -243,6 +251,7 @@
   template <class Answer>
   void settle(RequestId id, Counter counter, Answer&& answer);
   ClassFigures& figures_of(std::uint32_t class_index);
+  void give_up(RequestId request, Cause why);
   void end_try(RequestId id, std::uint32_t attempt, Outcome outcome, const LoadReport& load);
   void after_module();
   void tell_ends();
@@ -273,6 +282,7 @@
   AttemptId last_attempt_ = 0;
   std::size_t held_bytes_ = 0;
   std::size_t owed_ = 0;
+  CauseFigures causes_;
   std::vector<ClassFigures> figures_;  // bounded by the classes that the front ends know
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::optional<Ms> stop_at_;
--- a/src/explore/world_parts.h
+++ b/src/explore/world_parts.h
@@ -235,13 +235,13 @@
     world_.say("  module: cancel attempt " + std::to_string(a) + " of request " + std::to_string(r));
     to_->cancel(r, a);
   }
-  void refuse(RequestId r, Ms t) override {
+  void refuse(RequestId r, Ms t, Cause why) override {
     world_.say("  module: refuse request " + std::to_string(r));
-    to_->refuse(r, t);
+    to_->refuse(r, t, why);
   }
-  void fail(RequestId r) override {
+  void fail(RequestId r, Cause why) override {
     world_.say("  module: fail request " + std::to_string(r));
-    to_->fail(r);
+    to_->fail(r, why);
   }
   void wake(Ms t, std::uint64_t token) override { to_->wake(t, token); }
   void probe(HostId) override {}
@@ -312,8 +312,8 @@
       if (picked.kind == Act::kNothing) return;
       --left_;
       if (picked.kind == Act::kSend) out.send(r, picked.which, 0);
-      if (picked.kind == Act::kRefuse) out.refuse(r, 10);
-      if (picked.kind == Act::kFail) out.fail(r);
+      if (picked.kind == Act::kRefuse) out.refuse(r, 10, Cause::kShed);
+      if (picked.kind == Act::kFail) out.fail(r, Cause::kEnded);
       if (picked.kind == Act::kCancel) out.cancel(r, picked.which);
       world_.saw(Sight::kModuleThrew, picked.kind == Act::kThrow);
       world_.saw(Sight::kSentAfterEnd, picked.kind != Act::kCancel && world_.answered_at_.contains(r));
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -372,7 +372,8 @@
                       .known_hosts = known_.size(),
                       .skipped_hosts = module_.avoided(clock_.now()),
                       .loads = loads_,
-                      .load_errors = load_errors_},
+                      .load_errors = load_errors_,
+                      .refused = engine_.causes()},
                      class_labels_, engine_.figures());
 }
 
--- a/src/ops/figures.cpp
+++ b/src/ops/figures.cpp
@@ -45,6 +45,10 @@
   line(out, "skipped_hosts", figures.skipped_hosts, 'g');
   line(out, "loads", figures.loads, 'c');
   line(out, "load_errors", figures.load_errors, 'c');
+  for (std::size_t i = 0; i < kCauses; ++i) {
+    line(out, "given_up." + std::string(kCauseNames[i]), figures.refused.by_cause[i], 'c');
+  }
+  line(out, "given_up.no_room_here", figures.refused.no_room_here, 'c');
   return out;
 }
 
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -8,8 +8,8 @@
   int sent = 0;
   void send(thistlepond::RequestId, thistlepond::HostId, thistlepond::Ms) override { ++sent; }
   void cancel(thistlepond::RequestId, std::uint32_t) override {}
-  void refuse(thistlepond::RequestId, thistlepond::Ms) override {}
-  void fail(thistlepond::RequestId) override {}
+  void refuse(thistlepond::RequestId, thistlepond::Ms, thistlepond::Cause) override {}
+  void fail(thistlepond::RequestId, thistlepond::Cause) override {}
   void wake(thistlepond::Ms, std::uint64_t) override {}
   void probe(thistlepond::HostId) override {}
   void follow_list() override {}
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -166,8 +166,8 @@
       f.module.asked = send_to(1);
       // A module that answers again, whatever it is told.
       f.module.ended = [](const AttemptEnd&, Actions& out) {
-        out.fail(1);
-        out.fail(1);
+        out.fail(1, Cause::kEnded);
+        out.fail(1, Cause::kEnded);
       };
       f.take(0);
       f.wire.written.insert(1);
@@ -287,9 +287,9 @@
 TEST(Engine, WhatAModuleMayNotDoDoesNothing) {
   Fixture f;
   f.module.asked = [](Actions& out) {
-    out.refuse(1, 10);
-    out.fail(1);
-    out.refuse(1, 10);
+    out.refuse(1, 10, Cause::kShed);
+    out.fail(1, Cause::kEnded);
+    out.refuse(1, 10, Cause::kShed);
     out.send(1, 1, 0);
     out.cancel(1, 0);
     out.cancel(1, 99);
--- a/tests/support.h
+++ b/tests/support.h
@@ -22,8 +22,8 @@
 
   void send(RequestId r, HostId h, Ms t) override { acts.push_back({Act::kSend, r, h, t}); }
   void cancel(RequestId r, std::uint32_t a) override { acts.push_back({Act::kCancel, r, 0, double(a)}); }
-  void refuse(RequestId r, Ms t) override { acts.push_back({Act::kRefuse, r, 0, t}); }
-  void fail(RequestId r) override { acts.push_back({Act::kFail, r, 0, 0}); }
+  void refuse(RequestId r, Ms t, Cause) override { acts.push_back({Act::kRefuse, r, 0, t}); }
+  void fail(RequestId r, Cause) override { acts.push_back({Act::kFail, r, 0, 0}); }
   void wake(Ms t, std::uint64_t token) override { acts.push_back({Act::kWake, token, 0, t}); }
   void probe(HostId h) override { acts.push_back({Act::kProbe, 0, h, 0}); }
   void follow_list() override { acts.push_back({Act::kFollow, 0, 0, 0}); }
