Slices below a request are honoured, drains are no jam, cold hosts carry their part

Changed: a bucket that holds the request lets it in whatever the estimate says; refusals count as pressure by how much queue is told; a cold host may get what a warm one completes, by its ability, and goes first for its part.

--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -136,9 +136,9 @@
   kEnded,      // attempts were made, none was answered well, and no further one is made
   kLate,       // its time is up
 };
-inline constexpr std::string_view kCauseNames[] = {"malformed", "ceiling", "open", "parent",
-                                                   "child",     "beyond",  "shed", "no_host",
-                                                   "hosts_full", "ended",  "late"};
+inline constexpr std::string_view kCauseNames[] = {"malformed",  "ceiling", "open", "parent",
+                                                   "child",      "beyond",  "shed", "no_host",
+                                                   "hosts_full", "ended",   "late"};
 inline constexpr std::size_t kCauses = std::size(kCauseNames);
 
 // What the module wants done. Actions are carried out in the order of the calls.
--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -34,16 +34,20 @@
   if (!p.allowed) return false;
   Host* best = nullptr;
   double best_cost = 0;
-  const auto all = static_cast<double>(
-      std::count_if(hosts.begin(), hosts.end(), [&](auto& entry) { return usable(entry.second); }));
+  bool best_first = false;
+  const Fleet all = fleet();
   for (const bool desperate : {false, true}) {
     for (auto& [id, h] : hosts) {
       if (!usable(h) || !in_group(r, p.bound, h) || awaited(h) >= limit(h)) continue;
       const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                      [&h = h](auto& a) { return a.host == h.entry.id; });
-      if ((!desperate && (tried || ejected(h))) || !cold_allows(h, all)) continue;
+      if (!desperate && (tried || ejected(h))) continue;
+      const Turn its = turn(h, all);
+      if (its == Turn::kNo) continue;
       const double c = cost(h, r.ask) * (1 + 0.02 * draw());
-      if (!best || c < best_cost) best = &h, best_cost = c;
+      const bool first = its == Turn::kFirst;
+      if (best && (first == best_first ? c >= best_cost : best_first)) continue;
+      best = &h, best_cost = c, best_first = first;
     }
     if (best) break;
   }
@@ -51,6 +55,8 @@
   Host& h = *best;
   if (awaited(h) <= 0) h.quiet_since = now;
   h.out += 1;
+  sent_rate = sent_rate * faded(now - sent_at, kDoneMemoryMs) + 1000 / kDoneMemoryMs;
+  sent_at = now;
   const auto c = customers.find(r.ask.customer);
   if (c != customers.end()) c->second.open += 1;
   r.attempts.push_back({h.entry.id, now});
--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -132,10 +132,8 @@
   Child& child = c.children[q.class_index];
   c.parent.refill(now);
   child.bucket.refill(now);
-  const bool part = c.parent.volume < q.units;  // a slice of less than this request proves nothing
   if (!c.parent.has(q.units)) return Cause::kParent;
   if (!child.bucket.has(q.units)) return Cause::kChild;
-  if (part && beyond_worth(c, q) < 0) return Cause::kBeyond;
   return {};
 }
 
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -19,10 +19,12 @@
   c.demand += q.units;
   const auto lacks = quota_lacks(c, q);
   r.inside = !lacks;
-  const bool tells = c.parent.volume >= q.units;  // a slice below one request proves nothing
-  const double worth = r.inside && tells ? 1 : beyond_worth(c, q);
+  const double worth = r.inside ? 1 : beyond_worth(c, q);
+  // A slice below one request proves nothing of who is beyond it.
+  const bool tells = c.parent.volume >= q.units;
   if (!r.inside && ((tells ? pressed() : jammed()) || worth < 0)) {
-    return finish(r, c.parent.wait_for(q.units), worth < 0 ? Cause::kBeyond : *lacks, out);
+    const Cause why = worth < 0 && *lacks != Cause::kOpen ? Cause::kBeyond : *lacks;
+    return finish(r, c.parent.wait_for(q.units), why, out);
   }
   const double work = class_time(q.class_index) / std::max(class_units[q.class_index], kTokenDust);
   if (shed(p.pays * cls(r).worth * worth / work, work * q.units)) {
@@ -166,12 +168,17 @@
     h.newest_answered = std::max(h.newest_answered, a.sent);
     newest_answered = std::max(newest_answered, a.sent);
   }
-  for (auto& f : refusals) f.full *= 1 - kOutcomeGain / 2, f.all *= 1 - kOutcomeGain / 2;
   h.fulls.resize(refusals.size());
+  // Danger: a host that drains unknown to this gateway looks like a full one, and the fleet like a jam. One
+  // that has turned away what it got tells nothing new of the others; and where hosts tell their queues,
+  // load turns nothing away while nobody waits.
+  const double news =
+      kOutcomeGain / 2 * (1 - full_for(h, r.ask)) * (tells_queue() ? std::min(1.0, ahead(h)) : 1);
+  for (auto& f : refusals) f.full *= 1 - news, f.all *= 1 - news;
   for (const std::size_t i : {std::size_t{r.ask.plan_index}, class_slot(r.ask.class_index)}) {
     const double full = e.outcome == Outcome::kFull ? 1 : 0;
-    refusals[i].all += kOutcomeGain / 2;
-    refusals[i].full += full * kOutcomeGain / 2;
+    refusals[i].all += news;
+    refusals[i].full += full * news;
     h.fulls[i] += kFullGain * (full - h.fulls[i]);
   }
   // What never ran added no work: another host is asked outside the budget, unless all are full.
--- a/src/control/hosts.cpp
+++ b/src/control/hosts.cpp
@@ -30,9 +30,29 @@
 // may take it, with the host's present part of an even share of all sends: the sum over gateways is then
 // that part, in any window, however many gateways there are or have just restarted. It also meets a fleet
 // back cold in one stroke. It could hurt while most hosts are cold: many sends then find no host.
-bool Control::State::cold_allows(const Host& h, double usable_hosts) {
-  if (!cold(h)) return true;
-  return draw() * usable_hosts < std::min(1.0, kColdShare * set.overload_factor * ability(h));
+// Danger: where many are cold, what they don't get crowds the few that are warm; less is then sent on the
+// whole, and an even share of that shrinks with it. What a warm host completes is safe to go by: it is no
+// more than a host can do. And a cold host that is drawn for its part of what all can do now goes before
+// the warm ones.
+Control::State::Fleet Control::State::fleet() {
+  Fleet f;
+  for (auto& [id, h] : hosts) {
+    if (!usable(h)) continue;
+    settle(h);
+    f.usable += 1, f.abilities += ability(h);
+    if (!cold(h)) f.warm += 1, f.warm_done += h.done_rate;
+  }
+  return f;
+}
+
+Control::State::Turn Control::State::turn(const Host& h, const Fleet& all) {
+  if (!cold(h)) return Turn::kByCost;
+  double even = 1 / all.usable;
+  if (all.warm > 0 && sent_rate > 0)
+    even = std::max(even, std::min(1.0, all.warm_done / sent_rate) / all.warm);
+  const double drawn = draw();
+  if (drawn >= kColdShare * set.overload_factor * ability(h) * even) return Turn::kNo;
+  return drawn < ability(h) / all.abilities ? Turn::kFirst : Turn::kByCost;
 }
 
 // Little's law as a bound: what is out at a host may not pass what it completes within the wait aimed for.
@@ -60,6 +80,16 @@
   return h.fulls.empty() ? 0 : std::min(h.fulls[q.plan_index], h.fulls[class_slot(q.class_index)]);
 }
 
+// What waits at a host before a new attempt, by its last report, and by the fleet's the older that is.
+double Control::State::ahead(const Host& h) const {
+  const double fresh = faded(now - h.reported_at, kReportMemoryMs);
+  return fresh * h.crowd + (1 - fresh) * crowd;
+}
+
+bool Control::State::tells_queue() const {
+  return std::count(set.report_fields.begin(), set.report_fields.end(), LoadField::kQueue) > 0;
+}
+
 // Expected time to an answer, for comparison. A host that owes answers and gives none looks as slow as its
 // silence is long: that finds dead, cut off and stuck hosts alike, before any time-out. It could hurt where
 // single requests are far longer than their class's mean.
@@ -67,9 +97,7 @@
   settle(h);
   Ms expected = class_time(q.class_index) * h.slow;
   if (awaited(h) > 0) expected = std::max(expected, now - h.quiet_since);
-  const double fresh = faded(now - h.reported_at, kReportMemoryMs);
-  const double ahead = fresh * h.crowd + (1 - fresh) * crowd;
-  double c = expected * (h.out + 1 + ahead) * (1 + kFailCost * (h.fails + full_for(h, q)));
+  double c = expected * (h.out + 1 + ahead(h)) * (1 + kFailCost * (h.fails + full_for(h, q)));
   return h.entry.zone == set.my_zone ? c : c * kOtherZone;
 }
 
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -37,6 +37,8 @@
   std::vector<Refusals> refusals;  // attempts of late, by plan, then by class
   double budget = kBudgetMost / 2;
   Ms newest_answered = 0;
+  double sent_rate = 0;  // attempts a second, of late
+  Ms sent_at = 0;
   double load = 0;  // part of all limits in use, smoothed
   Ms load_at = 0;
   Ms gap = 0;              // between requests, of late
@@ -78,7 +80,14 @@
   void settle(Host& h);
   bool cold(const Host& h) const;
   double ability(const Host& h) const;
-  bool cold_allows(const Host& h, double usable_hosts);
+  struct Fleet {
+    double usable = 0, abilities = 0, warm = 0;  // hosts; the sum of what they can do now; those at full
+    double warm_done = 0;                        // completions a second of the warm ones, through here
+  };
+  Fleet fleet();
+  // Whether a cold host may take a request: not, by its cost, or before others.
+  enum class Turn : std::uint8_t { kNo, kByCost, kFirst };
+  Turn turn(const Host& h, const Fleet& all);
   Ms allowed_wait() const;
   double fair_out(Host& h);
   double limit(Host& h) { return fair_out(h) + 1; }
@@ -86,6 +95,8 @@
   std::size_t class_slot(std::uint32_t class_index) const { return set.plans.size() + class_index; }
   double full_for(const Host& h, const Request& q) const;
   double cost(Host& h, const Request& q);
+  double ahead(const Host& h) const;
+  bool tells_queue() const;
   // Attempts that may well be answered yet: those that later ones have overtaken tell nothing more.
   double awaited(const Host& h) const { return std::max(h.out - h.overdue, 0.0); }
   bool usable(const Host& h) const { return h.listed && h.told_leaving == kNoTime; }
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <memory>
+#include <random>
 
 #include "support.h"
 
@@ -268,5 +270,123 @@
   EXPECT_GE(sent, 1) << "some go on, or the signals would stop";
 }
 
+// A herd of 48: each slice is a tenth of a request. A customer that asks for three times its quota was
+// refused by all of them, and two thirds of its quota lay idle.
+TEST(Scale, AQuotaIsUsedThoughEachSliceIsBelowOneRequest) {
+  constexpr double kQuota = 4, kAsked = 12, kGateways = 48;
+  auto s = large(kGateways);
+  s.plans[0].quota_rate = kQuota;
+  s.plans[0].burst = 12;
+  s.plans[0].overrun_cost = 1;
+  std::vector<std::unique_ptr<Gateway>> all;
+  for (std::uint64_t i = 0; i < kGateways; ++i)
+    all.push_back(std::make_unique<Gateway>(s, fleet(24), 0, 50 + i));
+  std::mt19937_64 random(11);
+  int sent = 0;
+  for (RequestId id = 1; id <= 60 * kAsked; ++id) {  // a minute; what the last half gives counts
+    const Ms now = static_cast<Ms>(id) * 1000 / kAsked;
+    Gateway& g = *all[random() % all.size()];
+    while (g.now + 100 <= now) g.wait(100);
+    const bool on = g.ask(id, 1, kGateways, 7);
+    if (id > 30 * kAsked) sent += on;
+    g.answer_all();
+  }
+  EXPECT_GE(sent, 30 * kQuota * 0.75);
+  EXPECT_LE(sent, 30 * kQuota * 1.6);
+}
+
+// Hosts that drain before this gateway has heard of it turn all away, each of them anew. No queue is told
+// anywhere: that is no jam, nobody is shed for it, and the request goes elsewhere.
+TEST(Scale, RefusalsOfHostsWithoutAQueueAreNoJam) {
+  for (const double queue : {0.0, 20.0}) {
+    auto s = large(48);
+    s.report_fields = {LoadField::kQueue};
+    s.plans[0].quota_rate = 4;
+    s.plans[0].burst = 8;
+    Gateway g(s, fleet(40));
+    int refused = 0;
+    for (RequestId id = 1; id <= 200; ++id) {
+      g.ask(id, 1, 24, id);
+      for (std::uint32_t attempt = 0; attempt < 4; ++attempt) {
+        const Act* a = g.out.of(Act::kSend, id);
+        if (a == nullptr) break;
+        const HostId h = a->host;
+        g.out.take();
+        const bool full = attempt == 0 && id % 3 == 0;
+        AttemptEnd end{id, attempt, h, full ? Outcome::kFull : Outcome::kOk, 60, !full, {}, {}};
+        if (!full) end.load.queue = queue;
+        g.control.on_attempt_end(g.now, end, g.out);
+      }
+      refused += g.out.why(id).has_value();
+      g.out.take();
+      g.wait(200);
+    }
+    if (queue > 0) {
+      EXPECT_GE(refused, 20) << "behind full queues it is one";
+    } else {
+      EXPECT_LE(refused, 4);
+    }
+  }
+}
+
+// A release under way: 16 of 24 hosts are cold. What they did not get crowded the eight warm ones, which then
+// set the measure for the cold ones too.
+TEST(Scale, ColdHostsCarryTheirPartWhileWarmOnesAreCrowded) {
+  int cold = 0, all = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    auto s = large(48);
+    s.cold_from = 0.16;
+    s.warm_after_ms = 16'000;
+    Gateway g(s, fleet(24, 16, 1e6), 1e6 + 6000, seed);
+    std::vector<std::pair<Ms, Act>> answers;
+    for (RequestId id = 1; id <= 20; ++id) {
+      g.ask(id, 1, 2, id);
+      for (const auto& a : g.out.take()) {
+        if (a.kind != Act::kSend) continue;
+        answers.emplace_back(g.now + (a.host <= 16 ? 250 : 900), a);
+        cold += a.host <= 16, ++all;
+      }
+      for (int i = 0; i < 3; ++i) {
+        g.wait(100);
+        std::erase_if(answers, [&](const auto& due) {
+          if (due.first > g.now) return false;
+          const bool warm = due.second.host > 16;
+          AttemptEnd end{due.second.id, 0, due.second.host, Outcome::kOk, warm ? 900.0 : 250.0, true, {}, {}};
+          end.load.queue = warm ? 4 : 0;
+          g.control.on_attempt_end(g.now, end, g.out);
+          return true;
+        });
+      }
+    }
+  }
+  ASSERT_GE(all, 200);
+  // At 6 s they can do 0.47 each, 7.6 of 15.6 in all.
+  EXPECT_GE(cold, all * 4 / 10);
+  EXPECT_LE(cold, all * 8 / 10);
+}
+
+TEST(Causes, EachRefusalNamesItsOwn) {
+  auto s = plain_settings();
+  s.plans[0].overrun_cost = 1;
+  s.plans.push_back({.quota_rate = 1000, .burst = 1000, .ceiling_rate = 10, .ceiling_burst = 20});
+  s.plans.push_back({.quota_rate = 1000, .burst = 1000, .overrun_cost = 1, .open_limit = 2});
+  const auto cause = [&](std::uint32_t plan, int before, std::vector<HostEntry> hosts) {
+    Gateway g(s, std::move(hosts));
+    RequestId id = 1;
+    for (; id <= static_cast<RequestId>(before); ++id) {
+      g.control.on_request(g.now, {id, 0, plan, 5, g.now + 4000, 1, 2}, g.out);
+    }
+    g.control.on_request(g.now, {id, 0, plan, 5, g.now + 4000, 1, 2}, g.out);
+    return g.out.why(id);
+  };
+  EXPECT_EQ(cause(9, 0, {host(1)}), Cause::kMalformed);
+  EXPECT_EQ(cause(1, 0, {host(1)}), Cause::kCeiling) << "its slice begins empty";
+  EXPECT_EQ(cause(0, 0, {}), Cause::kNoHost);
+  EXPECT_EQ(cause(0, 0, {host(1, HostState::kDraining)}), Cause::kNoHost);
+  EXPECT_EQ(cause(0, 0, {host(1)}), std::nullopt);
+  EXPECT_EQ(cause(2, 1, {host(1)}), Cause::kOpen);
+  EXPECT_EQ(cause(0, 6, {host(1), host(2), host(3), host(4), host(5)}), Cause::kBeyond);
+}
+
 }  // namespace
 }  // namespace thistlepond::testing
--- a/tests/support.h
+++ b/tests/support.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,8 @@
   enum Kind { kSend, kCancel, kRefuse, kFail, kWake, kProbe, kFollow, kFetch, kNote } kind;
   std::uint64_t id = 0;  // request or token
   HostId host = 0;
-  double value = 0;  // time, or the attempt's number
+  double value = 0;               // time, or the attempt's number
+  Cause why = Cause::kMalformed;  // of refusals and failures
 };
 
 class Recorder : public Actions {
@@ -22,8 +24,8 @@
 
   void send(RequestId r, HostId h, Ms t) override { acts.push_back({Act::kSend, r, h, t}); }
   void cancel(RequestId r, std::uint32_t a) override { acts.push_back({Act::kCancel, r, 0, double(a)}); }
-  void refuse(RequestId r, Ms t, Cause) override { acts.push_back({Act::kRefuse, r, 0, t}); }
-  void fail(RequestId r, Cause) override { acts.push_back({Act::kFail, r, 0, 0}); }
+  void refuse(RequestId r, Ms t, Cause why) override { acts.push_back({Act::kRefuse, r, 0, t, why}); }
+  void fail(RequestId r, Cause why) override { acts.push_back({Act::kFail, r, 0, 0, why}); }
   void wake(Ms t, std::uint64_t token) override { acts.push_back({Act::kWake, token, 0, t}); }
   void probe(HostId h) override { acts.push_back({Act::kProbe, 0, h, 0}); }
   void follow_list() override { acts.push_back({Act::kFollow, 0, 0, 0}); }
@@ -40,6 +42,13 @@
     }
     return nullptr;
   }
+  // Why this request was refused or given up; nothing if it was not.
+  std::optional<Cause> why(std::uint64_t id) const {
+    for (const auto kind : {Act::kRefuse, Act::kFail}) {
+      if (const Act* a = of(kind, id)) return a->why;
+    }
+    return {};
+  }
   std::vector<Act> take() { return std::exchange(acts, {}); }
 };
 
