--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -165,11 +165,23 @@
   std::vector<double> children;               // levels, by class
   double demand = 0;                          // units asked for of late
   Ms unseen = 0;                              // since its last request
+  double open = 0;                            // attempts out, which end over there
+};
+
+// And what it knows of a host.
+struct HostKnowledge {
+  HostId id = 0;
+  Ms up_for = -1;                                     // since the host's start; negative: long
+  double slow = 1, fails = 0, crowd = 0, proven = 0;  // as the module keeps them
+  Ms ejected_for = 0;                                 // still to come
 };
 
 struct HandedState {
   Ms age = 0;  // of the gateway that hands over
   std::vector<CustomerState> customers;
+  std::vector<HostKnowledge> hosts;
+  std::vector<Ms> class_ms;  // what requests of each class take; 0: not known
+  Ms calm_ms = 0;            // and all of them while nothing queues; 0: not known
 };
 
 // One gateway's decisions. Events go in, in order of time; actions come out through the sink.
@@ -195,6 +207,8 @@
   HandedState hand_over(Ms now);
   // Before the first request. A plan or class that is not in the settings any more is left out.
   void take_over(Ms now, const HandedState& state);
+  // The gateway that handed over has ended, and all that was out there with it.
+  void predecessor_gone(Ms now);
   // Hosts that are listed and get nothing now: they leave, or fail most of what they are sent.
   std::size_t avoided(Ms now) const;
   void on_probe_end(Ms now, HostId host, Ms took_ms, bool ok, const LoadReport& load, Actions& out);
--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -47,7 +47,7 @@
 // Danger: two gateways that each think they have the slice would give it twice. Levels are divided, debts go
 // over whole, and only one of the two refills.
 HandedState Control::State::hand_over() {
-  HandedState all{now - born, {}};
+  HandedState all{now - born, {}, {}, class_ms, calm_ms};
   const auto divide = [&](TokenBucket& b) {
     b.refill(now);
     const double kept = std::max(b.level, 0.0) * kKeptShare;
@@ -56,11 +56,18 @@
     return given;
   };
   for (auto& [id, c] : customers) {
-    CustomerState s{id, c.plan,   c.spread,    divide(c.parent), divide(c.whole), divide(c.ceiling),
-                    {}, c.demand, now - c.seen};
+    CustomerState s{
+        id,       c.plan,       c.spread, divide(c.parent), divide(c.whole), divide(c.ceiling), {},
+        c.demand, now - c.seen, c.open};
     for (auto& child : c.children) s.children.push_back(divide(child.bucket));
     all.customers.push_back(std::move(s));
   }
+  for (auto& [id, h] : hosts) {
+    if (!usable(h)) continue;
+    settle(h);
+    all.hosts.push_back({id, h.entry.started_at > 0 ? now - h.entry.started_at : -1, h.slow, h.fails, h.crowd,
+                         h.proven, std::max(h.ejected_until - now, 0.0)});
+  }
   handed = true;
   for (auto& [id, c] : customers) shape(c);
   return all;
@@ -81,6 +88,29 @@
     c.allowance = std::max(c.parent.level, 0.0);
     c.demand = finite(s.demand, 0);
     c.seen = now - finite(s.unseen, 0);
+    c.elsewhere = finite(s.open, 0);
+  }
+  know_hosts(from);
+}
+
+// Danger: a host that has started anew since is not the one that is known.
+void Control::State::know_hosts(const HandedState& from) {
+  for (std::size_t i = 0; i < std::min(class_ms.size(), from.class_ms.size()); ++i) {
+    class_ms[i] = finite(from.class_ms[i], 0);
+  }
+  calm_ms = finite(from.calm_ms, 0), calm_at = now;
+  if (calm_ms > 0) completions = kCalmSamples, recent_ms = calm_ms;
+  for (const auto& k : from.hosts) {
+    const auto it = hosts.find(k.id);
+    if (it == hosts.end() || !usable(it->second)) continue;
+    Host& h = it->second;
+    const Ms up_for = h.entry.started_at > 0 ? now - h.entry.started_at : -1;
+    if (std::abs(up_for - k.up_for) > kSameStartMs) continue;
+    settle(h);
+    h.slow = finite(k.slow, 1), h.fails = std::min(finite(k.fails, 0), 1.0), h.crowd = finite(k.crowd, 0);
+    h.proven = finite(k.proven, 0);
+    const Ms left = std::min(finite(k.ejected_for, 0), kLongestEjectMs);
+    if (left > 0) h.ejected_until = now + left;
   }
 }
 
@@ -115,13 +145,14 @@
     // Never dropped while that would give tokens back early: only full buckets go.
     const bool full = c.parent.has(c.parent.volume) && c.ceiling.has(c.ceiling.volume);
     const bool idle = now - c.seen > kIdleMs || (full && like_new(c));
-    it = c.open <= 0 && full && idle ? customers.erase(it) : std::next(it);
+    it = c.open + c.elsewhere <= 0 && full && idle ? customers.erase(it) : std::next(it);
   }
 }
 
 bool Control::State::capped(const Customer& c) const {
   const double limit = set.plans[c.plan].open_limit;
-  return limit > 0 && c.open >= std::max(1.0, std::ceil(limit / c.spread - kTokenDust));
+  if (limit > 0 && handed) return true;  // what comes still would be counted twice over
+  return limit > 0 && c.open + c.elsewhere >= std::max(1.0, std::ceil(limit / c.spread - kTokenDust));
 }
 
 // Why this request is not inside what its customer's slice holds; nothing if it is.
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -352,6 +352,11 @@
   state_->take_over(state);
 }
 
+void Control::predecessor_gone(Ms now) {
+  state_->now = now;
+  for (auto& [id, c] : state_->customers) c.elsewhere = 0;
+}
+
 std::size_t Control::avoided(Ms now) const {
   state_->now = now;
   return static_cast<std::size_t>(
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -41,6 +41,7 @@
   TokenBucket whole;     // the whole quota, drawn on by this gateway alone
   double demand = 0;     // units asked for here of late
   double open = 0;       // attempts out through this gateway
+  double elsewhere = 0;  // and through the one that it took over from
   double spread = 1;
   Ms seen = 0;
 };
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -67,6 +67,7 @@
   void take_over(const HandedState& from);
   double refills() const { return handed ? 0 : 1; }
   Customer& customer_of(const Request& q);
+  void know_hosts(const HandedState& from);
   bool like_new(Customer& c);
   void lend();
   bool capped(const Customer& c) const;
--- a/src/control/tuning.h
+++ b/src/control/tuning.h
@@ -14,6 +14,7 @@
 inline constexpr double kForgotten = 0.05;  // units of demand remembered: less is none
 inline constexpr Ms kGoneMemoryMs =
     10'000;  // of a host that has left: further attempts may be bound to its group
+inline constexpr Ms kSameStartMs = 1000;  // two processes read a host's start so far apart at most
 inline constexpr Ms kNoTime = std::numeric_limits<Ms>::infinity();
 inline constexpr double kTokenDust = 1e-9;  // units; forgives rounding of the refill
 inline constexpr Ms kShareMemoryMs =
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -334,7 +334,8 @@
   try {
     const auto handed = ops::decode(state, {config_.class_names, config_.plan_names});
     module_.take_over(clock_.now(), handed);
-    log_line("taken over", std::to_string(handed.customers.size()) + " customers");
+    log_line("taken over", std::to_string(handed.customers.size()) + " customers, " +
+                               std::to_string(handed.hosts.size()) + " hosts");
   } catch (const ops::HandoverError& error) {
     log_line("taken over without state", error.what());  // lawful: ceilings start empty
   }
@@ -344,6 +345,7 @@
 
 void Gateway::on_predecessor_gone() {
   asio::post(timer_.get_executor(), [done = std::move(predecessor_)] {});  // this is its own call
+  module_.predecessor_gone(clock_.now());
   if (!open_) {
     log_line("the process before has ended without a word");
     clients_.begin();
--- a/src/ops/handover_state.cpp
+++ b/src/ops/handover_state.cpp
@@ -31,8 +31,8 @@
 json::value customer(const CustomerState& c) {
   json::array children;
   for (const double level : c.children) children.emplace_back(level);
-  return json::array{c.id,      c.plan,   c.spread, c.parent,           c.whole,
-                     c.ceiling, c.demand, c.unseen, std::move(children)};
+  return json::array{
+      c.id, c.plan, c.spread, c.parent, c.whole, c.ceiling, c.demand, c.unseen, std::move(children), c.open};
 }
 
 // Numbers of the other process to those here; names that are not here to a number past the last.
@@ -61,9 +61,38 @@
   for (std::size_t i = 0; i < levels.size(); ++i) {
     if (classes.at(i) < our_classes) c.children[classes[i]] = number(levels[i]);
   }
+  if (one.size() > 9) c.open = number(one[9]);  // not from processes before 0004
   return c;
 }
 
+json::value host(const HostKnowledge& h) {
+  return json::array{h.id, h.up_for, h.slow, h.fails, h.crowd, h.proven, h.ejected_for};
+}
+
+HostKnowledge read_host(const json::array& one) {
+  return {one.at(0).to_number<HostId>(),
+          number(one.at(1)),
+          number(one.at(2)),
+          number(one.at(3)),
+          number(one.at(4)),
+          number(one.at(5)),
+          number(one.at(6))};
+}
+
+// What is known of hosts and classes. Processes before 0004 say nothing of it.
+void read_knowledge(const json::object& o, const std::vector<std::uint32_t>& classes, std::size_t our_classes,
+                    HandedState& state) {
+  const auto* hosts = o.if_contains("hosts");
+  if (!hosts) return;
+  for (const auto& one : hosts->as_array()) state.hosts.push_back(read_host(one.as_array()));
+  state.class_ms.assign(our_classes, 0);
+  const auto& took = o.at("class_ms").as_array();
+  for (std::size_t i = 0; i < took.size(); ++i) {
+    if (classes.at(i) < our_classes) state.class_ms[classes[i]] = number(took[i]);
+  }
+  state.calm_ms = number(o.at("calm_ms"));
+}
+
 }  // namespace
 
 std::string encode(const HandedState& state, const Names& names, std::span<const PlanSettings> plans) {
@@ -81,11 +110,19 @@
   }
   json::array customers;
   for (const auto* c : order) customers.push_back(customer(*c));
+  json::array hosts, took;
+  for (std::size_t i = 0; i < std::min(state.hosts.size(), kMostHanded); ++i) {
+    hosts.push_back(host(state.hosts[i]));
+  }
+  for (const Ms ms : state.class_ms) took.emplace_back(ms);
   return json::serialize(json::object{{"version", kVersion},
                                       {"age_ms", age},
                                       {"classes", words(names.classes)},
                                       {"plans", words(names.plans)},
-                                      {"customers", std::move(customers)}});
+                                      {"customers", std::move(customers)},
+                                      {"hosts", std::move(hosts)},
+                                      {"class_ms", std::move(took)},
+                                      {"calm_ms", state.calm_ms}});
 }
 
 HandedState decode(std::string_view text, const Names& names) {
@@ -101,6 +138,7 @@
       auto c = read_customer(one.as_array(), plans, classes, names.classes.size());
       if (c.plan < names.plans.size()) state.customers.push_back(std::move(c));
     }
+    read_knowledge(o, classes, names.classes.size(), state);
     return state;
   } catch (const HandoverError&) {
     throw;
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -71,6 +71,64 @@
   EXPECT_FALSE(second.ask(1));
 }
 
+// What the first has learnt of a bad host the second need not learn again; a host that has started anew since
+// is another one.
+TEST(Succession, WhatIsKnownOfHostsGoesOver) {
+  auto settings = plain_settings();
+  settings.plans[0].quota_rate = settings.plans[0].burst = 1000;
+  for (const bool handed : {false, true}) {
+    for (const Ms started : {0.0, 99000.0}) {
+      Gateway first(settings, {host(1), host(2), host(3)}, 100000);
+      Gateway second(settings, {host(1, HostState::kReady, started), host(2), host(3)}, 100000, 9);
+      for (RequestId id = 1; id <= 100; ++id) {
+        first.ask(id, 1, 2, id);
+        for (const auto& a : first.out.take()) {
+          if (a.kind != Act::kSend) continue;
+          first.end(a.id, 0, a.host, a.host == 1 ? Outcome::kError : Outcome::kOk, 50, true);
+        }
+        first.out.take();
+        first.wait(20), second.wait(20);
+      }
+      const auto state = first.control.hand_over(first.now);
+      EXPECT_EQ(state.hosts.size(), 3u);
+      if (handed) second.control.take_over(second.now, state);
+      int bad = 0;
+      for (RequestId id = 1; id <= 12; ++id) {
+        second.ask(id, 1, 2, id);
+        bad += second.out.of(Act::kSend, id)->host == 1;
+        second.answer_all();
+      }
+      if (handed && started == 0) {
+        EXPECT_EQ(bad, 0);
+      } else if (started == 0) {
+        EXPECT_GE(bad, 2) << "the even part is 4";
+      } else {
+        EXPECT_EQ(second.control.avoided(second.now), 0u);
+      }
+    }
+  }
+}
+
+// Two attempts of a customer may be out through a gateway; those at the first count until it has ended.
+TEST(Succession, AttemptsOutAtTheFirstCountAtTheSecond) {
+  auto settings = plain_settings();
+  settings.plans[0] = {};
+  settings.plans[0].open_limit = 4;
+  settings.plans[0].overrun_cost = 1;
+  Gateway first(settings, {host(1), host(2)}, 100000), second(settings, {host(1), host(2)}, 100000, 9);
+  EXPECT_TRUE(first.ask(1));
+  EXPECT_TRUE(first.ask(2));
+  EXPECT_FALSE(first.ask(3));
+  second.control.take_over(second.now, first.control.hand_over(first.now));
+  EXPECT_FALSE(second.ask(4));
+  first.answer_all();
+  EXPECT_FALSE(first.ask(5)) << "the places are the second's now";
+  second.control.predecessor_gone(second.now);
+  EXPECT_TRUE(second.ask(6));
+  EXPECT_TRUE(second.ask(7));
+  EXPECT_FALSE(second.ask(8));
+}
+
 TEST(NewSettings, ALowerCeilingHoldsFromTheNextRequest) {
   auto settings = with_ceiling();
   Gateway g(settings, {host(1), host(2)}, 100000);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -48,6 +48,34 @@
   return client.reply();
 }
 
+// As text, between processes that number classes differently, and from one that tells of customers only.
+TEST(HandedText, HostsAndClassesGoOverAndWhatIsMissingIsNotKnown) {
+  const std::vector<std::string> theirs{"look", "hold"}, ours{"hold", "audit", "look"}, plans{"team"};
+  HandedState state{5000, {{.id = 7, .plan = 0, .open = 3}}, {{42, 1500, 2.5, 0.5, 4, 9, 800}}, {60, 250}, 90};
+  state.customers[0].children = {1, 2};
+  const PlanSettings plan;
+  const auto text = ops::encode(state, {theirs, plans}, std::span(&plan, 1));
+  const auto got = ops::decode(text, {ours, plans});
+  ASSERT_EQ(got.customers.size(), 1u);
+  EXPECT_EQ(got.customers[0].open, 3);
+  ASSERT_EQ(got.hosts.size(), 1u);
+  EXPECT_EQ(got.hosts[0].id, 42u);
+  EXPECT_EQ(got.hosts[0].up_for, 1500);
+  EXPECT_EQ(got.hosts[0].ejected_for, 800);
+  EXPECT_EQ(got.class_ms, (std::vector<Ms>{250, 0, 60}));
+  EXPECT_EQ(got.calm_ms, 90);
+
+  const auto before = ops::decode(R"({"version":1,"age_ms":1,"classes":["look"],"plans":["team"],)"
+                                  R"("customers":[[7,0,1,1,1,1,0,0,[1]]]})",
+                                  {ours, plans});
+  ASSERT_EQ(before.customers.size(), 1u);
+  EXPECT_EQ(before.customers[0].open, 0);
+  EXPECT_TRUE(before.hosts.empty());
+  EXPECT_THROW(ops::decode(R"({"version":1,"age_ms":1,"classes":[],"plans":[],"customers":[],"hosts":[[1]]})",
+                           {ours, plans}),
+               ops::HandoverError);
+}
+
 TEST(Upgrade, TheSecondBeginsWhenTheFirstIsToldToEnd) {
   Beside b;
   auto first = b.start();
