--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -162,7 +162,7 @@
   std::uint32_t plan = 0;
   double spread = 1;
   double parent = 0, whole = 0, ceiling = 0;  // levels of its buckets, in units; negative: in debt
-  std::vector<double> children;               // levels, by class
+  std::vector<double> children = {};          // levels, by class
   double demand = 0;                          // units asked for of late
   Ms unseen = 0;                              // since its last request
   double open = 0;                            // attempts out, which end over there
@@ -178,10 +178,10 @@
 
 struct HandedState {
   Ms age = 0;  // of the gateway that hands over
-  std::vector<CustomerState> customers;
-  std::vector<HostKnowledge> hosts;
-  std::vector<Ms> class_ms;  // what requests of each class take; 0: not known
-  Ms calm_ms = 0;            // and all of them while nothing queues; 0: not known
+  std::vector<CustomerState> customers = {};
+  std::vector<HostKnowledge> hosts = {};
+  std::vector<Ms> class_ms = {};  // what requests of each class take; 0: not known
+  Ms calm_ms = 0;                 // and all of them while nothing queues; 0: not known
 };
 
 // One gateway's decisions. Events go in, in order of time; actions come out through the sink.
--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -116,6 +116,17 @@
   return true;
 }
 
+// Whether a further attempt could go to a host that was not tried. Danger: the only attempt that there will
+// be would be called off for nothing.
+bool Control::State::elsewhere(const Held& r) const {
+  if (static_cast<double>(r.attempts.size()) >= set.max_attempts) return false;
+  return std::any_of(hosts.begin(), hosts.end(), [&](auto& entry) {
+    const bool tried =
+        std::any_of(r.attempts.begin(), r.attempts.end(), [&](auto& a) { return a.host == entry.first; });
+    return !tried && usable(entry.second) && !ejected(entry.second);
+  });
+}
+
 Ms Control::State::patience(const Held& r) const {
   return std::max(kPatience * class_time(r.ask.class_index), kPatienceAim * aim_of(r));
 }
@@ -138,7 +149,7 @@
     const auto last = static_cast<std::uint32_t>(r.attempts.size() - 1);
     if (set.second_copies) {
       send_again(r, out);
-    } else if (cls(r).repeat != Repeat::kUnsafe) {
+    } else if (cls(r).repeat != Repeat::kUnsafe && elsewhere(r)) {
       call_off(r, last, out);  // its outcome brings the next attempt
     }
   }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -121,6 +121,7 @@
   void forget_if_done(RequestId id);
   bool worth_trying(const Held& r) const;
   bool send_again(Held& r, Actions& out);
+  bool elsewhere(const Held& r) const;
   Ms patience(const Held& r) const;
   void arm(const Held& r, Actions& out) const;
   void due(Held& r, Actions& out);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -35,6 +35,8 @@
 Clients::~Clients() = default;
 
 void Clients::listen(const tcp::endpoint& at) {
+  error_code ignored;
+  acceptor_.close(ignored);  // of an earlier try
   acceptor_.open(at.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -46,6 +46,7 @@
   // Throws boost::system::system_error.
   void adopt(int listening);
   void begin();
+  bool has_socket() const { return acceptor_.is_open(); }
   int listening_socket() { return acceptor_.native_handle(); }
   // Accepts nobody any more and leaves the queue to another process that has the same socket.
   void leave_queue();
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -108,6 +108,7 @@
       drain_timer_(io),
       ready_timer_(io),
       proxies_timer_(io),
+      listen_timer_(io),
       class_labels_(config_.class_names) {
   hosts_.set_make_room([this] { return clients_.make_room(); });
   if (config_.admin) admin_ = std::make_unique<AdminServer>(io, static_cast<ops::Operable&>(*this));
@@ -130,11 +131,15 @@
   apply(config_.known, ListKind::kCached);
   if (predecessor_) {
     handed_to_ = true;
-    clients_.adopt(predecessor_->take_listening_socket().release());
+    OwnedFd socket = predecessor_->take_listening_socket();
+    const bool hangs = socket.get() < 0;
+    if (!hangs) clients_.adopt(socket.release());
     share_limits(true);
-    predecessor_->listen_to({.begin = [this](const std::string& state) { take_over(state); },
+    predecessor_->listen_to({.socket = [this](OwnedFd late) { clients_.adopt(late.release()); },
+                             .begin = [this](const std::string& state) { take_over(state); },
                              .gone = [this] { on_predecessor_gone(); }});
-    log_line("another process serves here: this one takes over when that ends");
+    log_line(hangs ? "another process holds this address and does not answer: this one waits for its end"
+                   : "another process serves here: this one takes over when that ends");
   } else {
     clients_.listen(config_.listen);
     open_to_clients();
@@ -348,12 +353,31 @@
   module_.predecessor_gone(clock_.now());
   if (!open_) {
     log_line("the process before has ended without a word");
-    clients_.begin();
-    open_to_clients();
+    clients_.has_socket() ? open_after_end() : listen_after_end();
   }
   share_limits(false);
 }
 
+void Gateway::open_after_end() {
+  clients_.begin();
+  open_to_clients();
+}
+
+// Danger: the kernel may close the ended process's listening socket after the connection that told its end.
+void Gateway::listen_after_end() {
+  try {
+    clients_.listen(config_.listen);
+    log_line("this process listens now", to_text(address()));
+    open_to_clients();
+  } catch (const boost::system::system_error& error) {
+    if (error.code() != asio::error::address_in_use) throw;
+    listen_timer_.expires_after(kLookAgain);
+    listen_timer_.async_wait([this](error_code stopped) {
+      if (!stopped) listen_after_end();
+    });
+  }
+}
+
 // Connections end after their next answer, so that no client's request crosses a close; those that idle are
 // closed when they have stood long enough, as ever.
 void Gateway::hand_over() {
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -40,7 +40,10 @@
   void reload(const Config& config);
   // A new configuration that could not be read.
   void reload_failed() { ++load_errors_; }
-  boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
+  // Where clients connect; what was asked for until there is a listening socket.
+  boost::asio::ip::tcp::endpoint address() const {
+    return clients_.has_socket() ? clients_.address() : config_.listen;
+  }
   // Null if there is none.
   const extproc::Processor* processor() const { return processor_ ? &processor_->processor() : nullptr; }
 
@@ -67,6 +70,8 @@
   void set_draining(bool on) override;
   void take_settings(const Config& config, const settings::Numbered& numbered);
   void open_to_clients();
+  void open_after_end();
+  void listen_after_end();
   void open_to_proxies();
   void take_over(const std::string& state);
   void on_predecessor_gone();
@@ -104,7 +109,7 @@
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<Predecessor> predecessor_;  // until it has ended
   std::unique_ptr<Handover> handover_;
-  boost::asio::steady_timer ready_timer_, proxies_timer_;
+  boost::asio::steady_timer ready_timer_, proxies_timer_, listen_timer_;
   bool open_ = false;       // clients are accepted here, or were
   bool told_ = false;       // discovery has spoken, or had its time to
   bool handed_to_ = false;  // a process before this one had the clients
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -59,9 +59,13 @@
   return ::sendmsg(over, &parcel.message, MSG_NOSIGNAL) == 1;
 }
 
-OwnedFd receive_descriptor(int over) {
+bool readable_within(int over, int ms) {
   pollfd wait{over, POLLIN, 0};
-  if (::poll(&wait, 1, kAnswerWithinMs) <= 0) return OwnedFd();
+  return ::poll(&wait, 1, ms) > 0;
+}
+
+// Of what is there to read.
+OwnedFd receive_descriptor(int over) {
   Parcel parcel;
   if (::recvmsg(over, &parcel.message, MSG_CMSG_CLOEXEC) != 1 || parcel.byte != kHello) return OwnedFd();
   const cmsghdr* head = CMSG_FIRSTHDR(&parcel.message);
@@ -156,14 +160,26 @@
   stream.connect(stream_protocol::endpoint(path), error);
   if (error) return nullptr;  // no such file, or only the name of one that has died
   if (!same_user(stream.native_handle())) throw std::runtime_error("another user's process is at " + path);
-  OwnedFd listener = receive_descriptor(stream.native_handle());
-  if (listener.get() < 0) return nullptr;  // it ends just now, or has given it to another
+  // Danger: one that hangs holds the address, and it alone could free it. It is waited for, not given up.
+  const bool hangs = !readable_within(stream.native_handle(), kAnswerWithinMs);
+  OwnedFd listener = hangs ? OwnedFd() : receive_descriptor(stream.native_handle());
+  if (!hangs && listener.get() < 0) return nullptr;  // it ends just now, or has given it to another
   return std::unique_ptr<Predecessor>(new Predecessor(std::move(stream), std::move(listener)));
 }
 
 void Predecessor::listen_to(Events events) {
   events_ = std::move(events);
-  read();
+  listener_.get() < 0 && !taken_ ? await_listener() : read();
+}
+
+void Predecessor::await_listener() {
+  stream_.async_wait(Stream::wait_read, [this](error_code error) {
+    if (error == asio::error::operation_aborted) return;
+    OwnedFd listener = error ? OwnedFd() : receive_descriptor(stream_.native_handle());
+    if (listener.get() < 0) return events_.gone();
+    events_.socket(std::move(listener));
+    read();
+  });
 }
 
 void Predecessor::read() {
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -61,27 +61,34 @@
 class Predecessor {
  public:
   struct Events {
+    std::function<void(OwnedFd listener)> socket;  // at most once, if `find` got none
     std::function<void(std::string state)> begin;  // at most once
     std::function<void()> gone;                    // once, with or without `begin` before
   };
-  // Null if there is none at this path. Waits a second at most. Throws std::runtime_error if there is one
-  // that gives nothing.
+  // Null if there is none at this path, or one that has no place for this process. Waits a second at most;
+  // one that says nothing for as long hangs, and is there without a listening socket. Throws
+  // std::runtime_error if it is another user's.
   static std::unique_ptr<Predecessor> find(boost::asio::io_context& io, const std::string& path);
 
-  OwnedFd take_listening_socket() { return std::move(listener_); }
+  // Empty if it hangs: the socket comes by an event, or it ends.
+  OwnedFd take_listening_socket() {
+    taken_ = listener_.get() >= 0;
+    return std::move(listener_);
+  }
   void listen_to(Events events);
 
  private:
   using Stream = boost::asio::local::stream_protocol::socket;
   Predecessor(Stream stream, OwnedFd listener) : stream_(std::move(stream)), listener_(std::move(listener)) {}
   void read();
+  void await_listener();
 
   Stream stream_;
   OwnedFd listener_;
   Events events_;
   std::string text_;
   char part_[16384];
-  bool begun_ = false;
+  bool begun_ = false, taken_ = false;
 };
 
 }  // namespace thistlepond::net
--- a/tests/symptoms_test.cpp
+++ b/tests/symptoms_test.cpp
@@ -177,6 +177,31 @@
   EXPECT_LE(again, 10 + 200 / 10 + 1) << "what was saved up and a tenth of first sends";
 }
 
+// With one host, or no attempt left, an attempt that later ones have overtaken is all that there will be.
+TEST(FurtherAttempts, TheLastOneIsNotCalledOffForNothing) {
+  for (const bool alone : {true, false}) {
+    for (const double attempts : {1.0, 4.0}) {
+      auto s = roomy();
+      s.second_copies = false;
+      s.max_attempts = attempts;
+      Gateway g(s, alone ? std::vector{host(1)} : std::vector{host(1), host(2)});
+      RequestId id = g.fill(1, 50);
+      ASSERT_TRUE(g.ask(500, 1, 2, 77));
+      g.out.take();
+      std::size_t cancels = 0;
+      for (int i = 0; i < 30; ++i) {  // 1.5 s, with answers to others all the time
+        g.fill(++id + 1000, 1);
+        g.now += 50;
+        g.tick();
+        g.control.on_timer(g.now, 500, g.out);
+        cancels += g.out.count(Act::kCancel);
+        g.out.take();
+      }
+      EXPECT_EQ(cancels > 0, !alone && attempts > 1) << alone << ' ' << attempts;
+    }
+  }
+}
+
 // Every host fails: the cause is elsewhere. Were all ejected, no room would count and all would be shed.
 TEST(Ejection, NeverTakesMoreThanHalfOfTheFleet) {
   Gateway g(roomy(), {host(1), host(2), host(3), host(4)});
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,4 +1,5 @@
 // A second process of the same gateway beside the first: who serves when, and what is handed over.
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <string>
@@ -51,7 +52,8 @@
 // As text, between processes that number classes differently, and from one that tells of customers only.
 TEST(HandedText, HostsAndClassesGoOverAndWhatIsMissingIsNotKnown) {
   const std::vector<std::string> theirs{"look", "hold"}, ours{"hold", "audit", "look"}, plans{"team"};
-  HandedState state{5000, {{.id = 7, .plan = 0, .open = 3}}, {{42, 1500, 2.5, 0.5, 4, 9, 800}}, {60, 250}, 90};
+  HandedState state{
+      5000, {{.id = 7, .plan = 0, .open = 3}}, {{42, 1500, 2.5, 0.5, 4, 9, 800}}, {60, 250}, 90};
   state.customers[0].children = {1, 2};
   const PlanSettings plan;
   const auto text = ops::encode(state, {theirs, plans}, std::span(&plan, 1));
@@ -117,6 +119,44 @@
   b.serve(client, 1);
 }
 
+// A first process that hangs: the second does not give up, whether the first is killed or comes to again.
+TEST(Upgrade, AFirstThatHangsIsWaitedFor) {
+  for (const bool killed : {true, false}) {
+    Beside b;
+    auto first = b.start();
+    const int port = first->port();
+    ASSERT_EQ(::kill(first->pid(), SIGSTOP), 0);
+    const auto second = b.start();
+    int at = port;
+    if (killed) {
+      first.reset();                                       // SIGKILL
+      const auto line = second->log_until("listens now");  // any port will do here
+      at = std::stoi(line.substr(line.rfind(':') + 1));
+    } else {
+      ASSERT_EQ(::kill(first->pid(), SIGCONT), 0);
+      first->log_until("a second process is there");
+      first->terminate();
+      second->log_until("taken over");
+    }
+    auto client = Peer::connect(at);
+    b.serve(client, 1);
+  }
+}
+
+// The first is told to end while the second has only just come, and the second is upgraded at once in turn.
+TEST(Upgrade, TwoWithinASecond) {
+  Beside b;
+  auto first = b.start();
+  auto second = b.start();
+  first->terminate();
+  second->log_until("taken over");
+  auto third = b.start();
+  second->terminate();
+  third->log_until("taken over");
+  auto client = third->client();
+  b.serve(client, 1);
+}
+
 TEST(Upgrade, TheSecondDiesAndTheFirstServesOn) {
   Beside b;
   auto first = b.start();
