--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -129,7 +129,7 @@
   kOpen,       // the customer has as many attempts out as its slice of the plan's allows
   kParent,     // the customer's slice is dry
   kChild,      // its class's part of the slice is
-  kBeyond,     // the slice tells too little, and by what the customer asked here it is beyond its quota
+  kBeyond,     // its slice is dry, and by what the customer asked here it is beyond its quota
   kShed,       // the back end is pressed, and others are worth more
   kNoHost,     // no host is listed that takes anything
   kHostsFull,  // each host is at its bound, cold or ejected
--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -39,9 +39,7 @@
   for (const bool desperate : {false, true}) {
     for (auto& [id, h] : hosts) {
       if (!usable(h) || !in_group(r, p.bound, h) || awaited(h) >= limit(h)) continue;
-      const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
-                                     [&h = h](auto& a) { return a.host == h.entry.id; });
-      if (!desperate && (tried || ejected(h))) continue;
+      if (!desperate && (r.tried(id) || ejected(h))) continue;
       const Turn its = turn(h, all);
       if (its == Turn::kNo) continue;
       const double c = cost(h, r.ask) * (1 + 0.02 * draw());
@@ -121,9 +119,7 @@
 bool Control::State::elsewhere(const Held& r) const {
   if (static_cast<double>(r.attempts.size()) >= set.max_attempts) return false;
   return std::any_of(hosts.begin(), hosts.end(), [&](auto& entry) {
-    const bool tried =
-        std::any_of(r.attempts.begin(), r.attempts.end(), [&](auto& a) { return a.host == entry.first; });
-    return !tried && usable(entry.second) && !ejected(entry.second);
+    return !r.tried(entry.first) && usable(entry.second) && !ejected(entry.second);
   });
 }
 
--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -65,8 +65,8 @@
   for (auto& [id, h] : hosts) {
     if (!usable(h)) continue;
     settle(h);
-    all.hosts.push_back({id, h.entry.started_at > 0 ? now - h.entry.started_at : -1, h.slow, h.fails, h.crowd,
-                         h.proven, std::max(h.ejected_until - now, 0.0)});
+    all.hosts.push_back(
+        {id, up_for(h), h.slow, h.fails, h.crowd, proven(h), std::max(h.ejected_until - now, 0.0)});
   }
   handed = true;
   for (auto& [id, c] : customers) shape(c);
@@ -104,11 +104,10 @@
     const auto it = hosts.find(k.id);
     if (it == hosts.end() || !usable(it->second)) continue;
     Host& h = it->second;
-    const Ms up_for = h.entry.started_at > 0 ? now - h.entry.started_at : -1;
-    if (std::abs(up_for - k.up_for) > kSameStartMs) continue;
+    if (std::abs(up_for(h) - k.up_for) > kSameStartMs) continue;
     settle(h);
     h.slow = finite(k.slow, 1), h.fails = std::min(finite(k.fails, 0), 1.0), h.crowd = finite(k.crowd, 0);
-    h.proven = finite(k.proven, 0);
+    h.proven = finite(k.proven, 0), h.proven_at = now;
     const Ms left = std::min(finite(k.ejected_for, 0), kLongestEjectMs);
     if (left > 0) h.ejected_until = now + left;
   }
@@ -185,7 +184,7 @@
   return kRareSkew + kMoreSkew * std::clamp(c.spread - 2, 0.0, kMostSkewed - 2);
 }
 
-// The worth expected of letting a customer on whose slice is dry or below one request, in parts of the
+// The worth expected of letting a customer on whose slice is dry, in parts of the
 // request's worth. Danger: its other slices may lie idle, or be as busy, and one gateway of hundreds sees a
 // request or two. So what it asked here is drawn towards a usual customer's use, the less the slice lets
 // expect the more; one that used up the whole quota here is beyond it for sure. It also meets customers
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -85,7 +85,8 @@
   h.done_rate += 1000 / kDoneMemoryMs;
   h.done_since += 1;
   if (h.done_since >= kProvenBy) {
-    h.proven = std::max(h.proven, h.done_since * 1000 / std::max(now - h.woken, kTickMs));
+    h.proven = std::max(proven(h), h.done_since * 1000 / std::max(now - h.woken, kTickMs));
+    h.proven_at = now;
   }
   completions = std::min(completions + 1, kCalmSamples);
   recent_ms += (took - recent_ms) / completions;
--- a/src/control/hosts.cpp
+++ b/src/control/hosts.cpp
@@ -12,7 +12,6 @@
   for (auto& f : h.fulls) f *= keep_fulls;
   h.slow = like + (h.slow - like) * keep;
   h.done_rate *= faded(dt, kDoneMemoryMs);
-  h.proven *= faded(dt, kCalmMemoryMs);
   h.touched = now;
 }
 
@@ -80,7 +79,7 @@
   const bool first = h.newest_answered <= 0 && !cold(h);
   const double least = (first ? kFirstAtHost : kLeastAtHost) / std::max(set.gateways, 1.0);
   const bool woken = now - h.woken < allowed_wait() && !cold(h);
-  return std::max(least, std::max(h.done_rate, woken ? h.proven : 0.0) * allowed_wait() / 1000);
+  return std::max(least, std::max(h.done_rate, woken ? proven(h) : 0.0) * allowed_wait() / 1000);
 }
 
 // Danger: a host with room turns away one plan or one class as full. What both the request's plan and its
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -59,7 +59,8 @@
   double done_rate = 0;   // completions a second, through this gateway
   Ms woken = 0;           // the send that ended its last idle time
   double done_since = 0;  // completions since then
-  double proven = 0;      // most completions a second so measured, fading
+  double proven = 0;      // most completions a second so measured, as of proven_at
+  Ms proven_at = 0;
   Ms touched = 0;
   Ms newest_answered = 0;  // when the latest send that was answered went out
   double overdue = 0;      // attempts out that the fleet has overtaken
@@ -89,6 +90,9 @@
   bool streaming = false;
   bool drew = false;  // units taken: the first send is done
   std::vector<Attempt> attempts;
+  bool tried(HostId host) const {
+    return std::any_of(attempts.begin(), attempts.end(), [&](auto& a) { return a.host == host; });
+  }
   double out() const {
     return static_cast<double>(
         std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; }));
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -79,6 +79,8 @@
 
   // ---- hosts ----
   void settle(Host& h);
+  Ms up_for(const Host& h) const { return h.entry.started_at > 0 ? now - h.entry.started_at : -1; }
+  double proven(const Host& h) const { return h.proven * faded(now - h.proven_at, kCalmMemoryMs); }
   bool cold(const Host& h) const;
   double ability(const Host& h) const;
   struct Fleet {
