--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -300,6 +300,9 @@
   };
   f.take(0);
   EXPECT_EQ(f.door.said, Fixture::Said{"refused"});
+  const auto& causes = f.engine.causes().by_cause;  // each answer counts once, by the reason that came first
+  EXPECT_EQ(causes[static_cast<std::size_t>(Cause::kShed)], 1u);
+  EXPECT_EQ(causes[static_cast<std::size_t>(Cause::kEnded)], 0u);
   EXPECT_TRUE(f.wire.out.empty());
   ASSERT_EQ(f.module.ends.size(), 1u);  // of the send, which never went
   EXPECT_EQ(f.module.ends[0].outcome, Outcome::kNotSent);
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -139,7 +139,12 @@
 TEST(Figures, ClassesOfOneNameAreOneLine) {
   const std::vector<std::string> labels{"a", "b", "a"};
   const std::vector<engine::ClassFigures> counts{{1, 2, 3, 4}, {0, 0, 0, 9}};
-  const auto text = ops::render({.loads = 5}, labels, counts);
+  ops::Figures figures{.loads = 5};
+  figures.refused.by_cause[static_cast<std::size_t>(Cause::kShed)] = 7;
+  figures.refused.no_room_here = 2;
+  const auto text = ops::render(figures, labels, counts);
+  EXPECT_NE(text.find("edge_edge.given_up.shed:7|c\n"), std::string::npos);
+  EXPECT_NE(text.find("edge_edge.given_up.no_room_here:2|c\n"), std::string::npos);
   EXPECT_NE(text.find("edge_edge.handled.a.passed:1|c\n"), std::string::npos);
   EXPECT_NE(text.find("edge_edge.handled.b.upstream_tries:9|c\n"), std::string::npos);
   EXPECT_NE(text.find("edge_edge.loads:5|c\n"), std::string::npos);
