--- a/src/net/backoff.h
+++ b/src/net/backoff.h
@@ -17,23 +17,39 @@
 // Danger: a fleet that starts together and is turned away comes back together. With one bound for all, 48
 // gateways made 27 calls a second for ever and none got through. One that was turned away therefore waits
 // much longer each time; one whose agent is down does not, as the list is missed and nobody is pressed.
+//
+// Danger: discovery works on calls whose callers have gone, so a hundred that come at once leave it seconds
+// behind, and all that come back before it has caught up make it seconds more: of 70 restarted together half
+// knew nothing new for 16 s. So the first calls of a large fleet are spread, and who is turned away comes
+// back after a time that grows with the fleet.
 class Backoff {
  public:
+  // `gateways` call the same discovery; from 1.
+  explicit Backoff(double gateways = 1) : fleet_(std::clamp(gateways, 1.0, kMostGateways)) {}
+
+  // The first call of one that has a list is drawn evenly from nothing to this.
+  std::chrono::milliseconds spread() const {
+    return std::chrono::milliseconds(static_cast<long>(60 * std::max(fleet_ - kFewGateways, 0.0)));
+  }
+
   // The pause is drawn evenly between half and one and a half of what this gives, in milliseconds.
   std::chrono::milliseconds next(WatchEnd end) {
     if (end == WatchEnd::kHeard) {
       pause_ = kFirst;
     } else if (end == WatchEnd::kTurnedAway) {
-      pause_ = std::min(pause_ * 4, kLongestAway);
+      const std::chrono::milliseconds turn(static_cast<long>(50 * fleet_));  // of the whole fleet
+      pause_ = std::clamp(pause_ * 4, std::min(turn, kLongestAway), std::max(turn, kLongestAway));
     } else {
       pause_ = std::min(pause_ * 2, kLongest);
     }
     return pause_;
   }
 
+  static constexpr double kFewGateways = 16, kMostGateways = 1000;
   static constexpr std::chrono::milliseconds kFirst{50}, kLongest{1000}, kLongestAway{6000};
 
  private:
+  double fleet_;
   std::chrono::milliseconds pause_ = kFirst;
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -129,6 +129,7 @@
 
  private:
   asio::awaitable<void> run(std::shared_ptr<Watch> self);
+  asio::awaitable<void> pause(std::chrono::milliseconds span, std::chrono::milliseconds least = {});
   asio::awaitable<void> fetch();
   asio::awaitable<void> follow();
   void take_lines(std::string& text);
@@ -140,13 +141,15 @@
   asio::steady_timer pause_timer_;
   beast::tcp_stream* stream_ = nullptr;  // the one in use
   bool heard_ = false;                   // this time it has said something that could be read
+  bool asked_ = false;                   // the call has gone out whole
   bool dropped_ = false, last_ = false;
 };
 
 asio::awaitable<void> Discovery::Watch::run([[maybe_unused]] std::shared_ptr<Watch> self) {
-  Backoff backoff;
+  Backoff backoff(owner_.gateways_);
+  if (version_) co_await pause(backoff.spread());
   while (!dropped_) {
-    heard_ = false;
+    heard_ = asked_ = false;
     std::string why;
     bool away = false;
     try {
@@ -158,22 +161,32 @@
       away = true;
     } catch (const boost::system::system_error& error) {
       why = error.code().message();
+      // Whoever takes a call and ends it without a word is there, and pressed.
+      away = asked_ &&
+             (error.code() == asio::error::connection_reset || error.code() == http::error::end_of_stream);
     } catch (const std::exception& error) {
       why = error.what();
     }
     if (dropped_ || last_) break;
     log_line("the watch of discovery broke", why);
     // The pause is drawn, so that gateways that lost discovery together do not come back together.
-    const auto pause = backoff.next(heard_ ? WatchEnd::kHeard
-                                    : away ? WatchEnd::kTurnedAway
-                                           : WatchEnd::kBroken);
-    pause_timer_.expires_after(
-        pause / 2 + std::chrono::milliseconds(owner_.random_() % static_cast<unsigned>(pause.count())));
-    boost::system::error_code stopped;
-    co_await pause_timer_.async_wait(asio::redirect_error(asio::use_awaitable, stopped));
+    const auto wait = backoff.next(heard_ ? WatchEnd::kHeard
+                                   : away ? WatchEnd::kTurnedAway
+                                          : WatchEnd::kBroken);
+    co_await pause(wait, wait / 2);
   }
 }
 
+// Drawn evenly from `least` to `span` more than that.
+asio::awaitable<void> Discovery::Watch::pause(std::chrono::milliseconds span,
+                                              std::chrono::milliseconds least) {
+  if (span.count() <= 0) co_return;
+  pause_timer_.expires_after(
+      least + std::chrono::milliseconds(owner_.random_() % static_cast<unsigned>(span.count())));
+  boost::system::error_code stopped;
+  co_await pause_timer_.async_wait(asio::redirect_error(asio::use_awaitable, stopped));
+}
+
 namespace {
 
 // Where a coroutine keeps its stream while others may want to close it.
@@ -204,6 +217,7 @@
   beast::tcp_stream stream(owner_.io_);
   const Shown shown(stream_, stream);
   co_await ask(stream, at_, "/api/targets");
+  asked_ = true;
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMostLine);
@@ -218,6 +232,7 @@
   beast::tcp_stream stream(owner_.io_);
   const Shown shown(stream_, stream);
   co_await ask(stream, at_, "/api/targets?follow=1&since=" + std::to_string(version_.value_or(0)));
+  asked_ = true;
   beast::flat_buffer buffer;
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
@@ -269,9 +284,9 @@
   version_ = version;
 }
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::uint64_t seed,
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::uint64_t seed, double gateways,
                      DiscoveryEvents& events)
-    : io_(io), at_(at), random_(seed), events_(events), recheck_(io) {}
+    : io_(io), at_(at), random_(seed), gateways_(gateways), events_(events), recheck_(io) {}
 
 Discovery::~Discovery() {
   for (const auto& watch : {watch_, next_}) {
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -54,8 +54,9 @@
 // whole list, so that no drain told meanwhile is lost; then it is dropped.
 class Discovery {
  public:
+  // `gateways`: how many call this discovery, this one included.
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, std::uint64_t seed,
-            DiscoveryEvents& events);
+            double gateways, DiscoveryEvents& events);
   ~Discovery();
 
   void start(std::uint64_t known_version);
@@ -76,6 +77,7 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint at_;
   std::mt19937_64 random_;
+  double gateways_;
   DiscoveryEvents& events_;
   std::shared_ptr<Watch> watch_;  // the one that is believed
   std::shared_ptr<Watch> next_;   // takes its place with its first list
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -78,6 +78,10 @@
           .settle_within = std::min(longest, kLongestDeadline) + kSettleMargin};
 }
 
+// Gateways that press the same discovery. Danger: where it pushes, its agent on this machine answers at once,
+// and what it has counts as told: waiting with the call let drained hosts have more.
+double callers(const Config& config) { return config.settings.must_subscribe ? config.settings.gateways : 1; }
+
 resp::Names names_of(const Config& config) {
   resp::Names names{
       config.class_names, config.plan_names, {}, config.settings.gateways, config.settings.largest_units};
@@ -101,7 +105,7 @@
       hosts_(io, clock, *this, pool_limits(config_)),
       engine_(module_, hosts_.pool(), engine_limits(config_), log_line),
       front_(engine_, clients_, names_of(config_)),
-      discovery_(io, config_.discovery, config_.seed, *this),
+      discovery_(io, config_.discovery, config_.seed, callers(config_), *this),
       on_stopped_(std::move(on_stopped)),
       timer_(io),
       stop_timer_(io),
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -106,6 +106,50 @@
   EXPECT_LT(done_at, 15'000);
 }
 
+// A discovery with a queue, which works on calls that nobody waits for any more, and 70 of 100 gateways that
+// have started at one moment. Called by all at once it was seconds behind for as long as they came back.
+TEST(Backoff, AHundredRestartedAtOnceAreAllToldSoon) {
+  constexpr int kFleet = 100, kStarted = 70;
+  constexpr double kTakes = 1000.0 / 15, kWaits = 2000;
+  std::mt19937 random(5);
+  std::vector<Backoff> waits(kStarted, Backoff(kFleet));
+  std::multimap<double, int> calls;
+  for (int i = 0; i < kStarted; ++i) {
+    calls.emplace(random() % std::max<unsigned>(1, static_cast<unsigned>(waits[i].spread().count())), i);
+  }
+  double free_at = 0, last = 0;
+  int made = 0;
+  for (; !calls.empty() && made < 5000; ++made) {
+    const auto [now, who] = *calls.begin();
+    calls.erase(calls.begin());
+    free_at = std::max(free_at, now);
+    const bool away = free_at - now > kWaits;  // turned away at once, else it waits in the queue
+    if (!away) free_at += kTakes;
+    if (!away && free_at - now <= kWaits) {
+      last = std::max(last, free_at);
+      continue;
+    }
+    const auto pause = static_cast<double>(waits[who].next(WatchEnd::kTurnedAway).count());
+    calls.emplace(now + (away ? 0 : kWaits) + pause / 2 + random() % static_cast<unsigned>(pause), who);
+  }
+  EXPECT_TRUE(calls.empty());
+  EXPECT_LT(last, 9'000);
+  EXPECT_LT(made, 2 * kStarted);
+}
+
+// Where discovery pushes, its agent answers at once and what it has counts as told: nobody waits with that
+// call.
+TEST(Reload, AnAgentIsCalledAtOnceHoweverLargeTheFleet) {
+  Listener host, agent;
+  auto conf = config(list(7, true, {target("s-1", host.port())}), agent.port());
+  auto& settings = conf["settings"].as_object();
+  settings["siblings"] = 1000;
+  settings["discovery"] = "automatic";
+  Program program(conf);
+  auto watch = agent.accept();
+  EXPECT_NE(watch_head(watch).find("since=7 "), std::string::npos);
+}
+
 TEST(Backoff, OneWhoseAgentIsDownComesBackWithinTwoSeconds) {
   Backoff wait;
   for (int i = 0; i < 20; ++i) EXPECT_LE(wait.next(WatchEnd::kBroken).count(), 1000);
