No draw where no host is cold: recorded traces play again

Cause: turn() drew once for each send, also where no host is cold, and moved the module's random stream, so that the trace 'replaced while waiting' chose other hosts and no longer met the fault that it is kept for (Traces.EachBreaksItsRule...). Change: no draw without cold hosts.

--- a/src/control/hosts.cpp
+++ b/src/control/hosts.cpp
@@ -46,6 +46,7 @@
 
 // The cold host whose turn it is, if it is one's.
 const Host* Control::State::turn(const Fleet& all) {
+  if (all.warm >= all.usable) return nullptr;
   double even = 1 / all.usable;
   if (all.warm > 0 && sent_rate > 0)
     even = std::max(even, std::min(1.0, all.warm_done / sent_rate) / all.warm);
