--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -432,14 +432,14 @@
   s.largest_units = 2;
   for (const double units : {1.0, 2.0}) {
     Gateway g(s, fleet(50));
-    g.wait(7000);
+    g.wait(9000);
     int sent = 0;
-    for (CustomerId c = 1; c <= 20; ++c) {
+    for (CustomerId c = 1; c <= 4; ++c) {
       g.ask(2 * c, 1, 100, c);
       sent += g.ask(2 * c + 1, units, 100, c);
       g.answer_all();
     }
-    EXPECT_LE(sent, 2) << units;
+    EXPECT_EQ(sent, 0) << units;
   }
 }
 
