--- a/tests/deploy_run.py
+++ b/tests/deploy_run.py
@@ -8,7 +8,6 @@
 import sys
 import tempfile
 
-RUN = sys.argv[1]
 CONFIG = {
     "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
@@ -28,46 +27,59 @@
         "family_info": {"units_top": 4}, "something_new": {"of_later": 1}}}
 
 
-def start(config, folder):
+def start(config, folder, run, preexec_fn=None, **environment):
     path = os.path.join(folder, "config.json")
     with open(path, "w", encoding="utf-8") as file:
         file.write(config if isinstance(config, str) else json.dumps(config))
     env = dict(os.environ, EDGE_NAME="n0", EDGE_LISTEN="127.0.0.1:0", EDGE_DISCOVERY="127.0.0.1:9",
-               EDGE_CONFIG=path)
-    return subprocess.Popen(["/bin/sh", "-c", RUN], env=env, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE,
-                            text=True)
+               EDGE_CONFIG=path, **environment)
+    return subprocess.Popen(["/bin/sh", "-c", run], env=env, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE,
+                            text=True, preexec_fn=preexec_fn)
 
 
-with tempfile.TemporaryDirectory() as folder:
-    node = start(CONFIG, folder)
+def ready(node):
+    """Where it listens, once it says so."""
+    said = []
     for line in node.stderr:
+        said.append(line)
         if line.startswith("ready"):
-            break
-    host, port = line.split()[-1].rsplit(":", 1)
-    with socket.create_connection((host, int(port)), timeout=30) as client:
-        client.sendall(b"*1\r\n$4\r\nPING\r\n")
-        assert client.recv(100) == b"+PONG\r\n"
-    node.send_signal(signal.SIGTERM)
-    node.stderr.read()
-    assert node.wait(timeout=60) == 0, node.returncode
+            host, port = line.split()[-1].rsplit(":", 1)
+            return host, int(port)
+    raise AssertionError(f"ended with {node.wait()}: {''.join(said)}")
 
-    for path, value, named in [(("settings", "siblings"), None, "siblings"),
-                               (("settings", "lanes", 0, "deadline_ms"), "x", "deadline_ms"),
-                               (("settings", "packages", 0, "name"), None, "packages.0.name"),
-                               (("limits", "sockets"), "many", "sockets"),
-                               (("known",), None, "known")]:
-        bad = copy.deepcopy(CONFIG)
-        at = bad
-        for step in path[:-1]:
-            at = at[step]
-        if value is None:
-            del at[path[-1]]
-        else:
-            at[path[-1]] = value
-        node = start(bad, folder)
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        node = start(CONFIG, folder, RUN)
+        with socket.create_connection(ready(node), timeout=30) as client:
+            client.sendall(b"*1\r\n$4\r\nPING\r\n")
+            assert client.recv(100) == b"+PONG\r\n"
+        node.send_signal(signal.SIGTERM)
+        node.stderr.read()
+        assert node.wait(timeout=60) == 0, node.returncode
+
+        for path, value, named in [(("settings", "siblings"), None, "siblings"),
+                                   (("settings", "lanes", 0, "deadline_ms"), "x", "deadline_ms"),
+                                   (("settings", "packages", 0, "name"), None, "packages.0.name"),
+                                   (("limits", "sockets"), "many", "sockets"),
+                                   (("known",), None, "known")]:
+            bad = copy.deepcopy(CONFIG)
+            at = bad
+            for step in path[:-1]:
+                at = at[step]
+            if value is None:
+                del at[path[-1]]
+            else:
+                at[path[-1]] = value
+            node = start(bad, folder, RUN)
+            text = node.stderr.read()
+            assert node.wait(timeout=60) == 1 and text.count("\n") == 1 and named in text, (node.returncode, text)
+        node = start("{", folder, RUN)
         text = node.stderr.read()
-        assert node.wait(timeout=60) == 1 and text.count("\n") == 1 and named in text, (node.returncode, text)
-    node = start("{", folder)
-    text = node.stderr.read()
-    assert node.wait(timeout=60) == 1 and text.count("\n") == 1 and "not JSON" in text, text
-print("deploy file: the gateway started, answered PING and stopped on SIGTERM; bad configuration named")
+        assert node.wait(timeout=60) == 1 and text.count("\n") == 1 and "not JSON" in text, text
+    print("deploy file: the gateway started, answered PING and stopped on SIGTERM; bad configuration named")
+
+
+if __name__ == "__main__":
+    RUN = sys.argv[1]
+    main()
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -10,4 +10,5 @@
 sh -c "$build" >/dev/null
 python3 tests/deploy_frames.py "$sim"
 python3 tests/deploy_run.py "$run"
+python3 tests/deploy_platform.py "$run"
 cmake --workflow --preset test
