Tests of 300 gateways, 200 hosts and 450 customers: quotas, hosts' and zones' parts, restarts

Bounds by plan on what is inside, beyond and refused with room, on each host's and zone's part, on handshakes, and on what seven restarts in ten spend anew.

--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -470,6 +470,96 @@
   }
 }
 
+// Three hundred gateways, two hundred hosts in three zones, and plans like a shop's: most customers use a
+// part of their quota, a tenth asks for far more, and half of those refused come again at another gateway.
+// Each gateway sees a customer once or twice in all.
+class ManyGateways : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kGateways = 300;
+  static constexpr HostId kHosts = 200;
+
+  ManyGateways()
+      : settings_(shop()),
+        fleet_(settings_, kGateways, hosts(), answers),
+        customers_(fleet_, settings_, 0.5) {
+    for (std::uint32_t i = 0; i < 450; ++i) {
+      const double use = i % 10 == 0  ? 1.8 + 3 * fleet_.draw()
+                         : i % 10 < 3 ? 0.9
+                                      : 0.15 + 0.35 * fleet_.draw();
+      customers_.add(i / 10 % 3, use, 90 + static_cast<std::size_t>(210 * fleet_.draw()),
+                     static_cast<std::size_t>(kGateways * fleet_.draw()), 0.3 + 1.2 * fleet_.draw());
+    }
+  }
+  static Settings shop() {
+    auto s = plain_settings();
+    s.gateways = kGateways;
+    s.classes[0].aim_ms = 1700;
+    s.plans = {{.quota_rate = 1.4, .burst = 6, .overrun_cost = 1.2},
+               {.quota_rate = 2.5, .burst = 11, .overrun_cost = 0.6},
+               {.quota_rate = 6, .burst = 12, .overrun_cost = 0.8}};
+    return s;
+  }
+  static std::vector<HostEntry> hosts() {
+    std::vector<HostEntry> all;
+    for (HostId h = 1; h <= kHosts; ++h) all.push_back(host(h, HostState::kReady, 0, h % 3));
+    return all;
+  }
+  static Fate answers(ModelFleet& m, HostId) { return {Outcome::kOk, m.exponential(350)}; }
+
+  Settings settings_;
+  ModelFleet fleet_;
+  ModelCustomers customers_;
+};
+
+// In parts of what one store would let in. With each dry slice let on, two fifths would overrun; with a usual
+// customer's crowding not believed, a tenth more of what has room is refused.
+TEST_F(ManyGateways, QuotasHoldAndAreUsed) {
+  struct Bounds {
+    double inside, beyond, refused_with_room;
+  };
+  constexpr Bounds kBounds[] = {{0.87, 0.24, 0.45}, {0.83, 0.18, 0.56}, {0.76, 0.16, 0.90}};
+  customers_.run(15'000);
+  for (std::size_t p = 0; p < 3; ++p) {
+    const auto& a = customers_.accounts()[p];
+    EXPECT_GE(a.inside, a.due * kBounds[p].inside) << p;
+    EXPECT_LE(a.beyond, a.due * kBounds[p].beyond) << p;
+    EXPECT_LE(a.refused_with_room, a.due * kBounds[p].refused_with_room) << p;
+  }
+}
+
+// Each gateway meets a host every ten seconds, and none is left idle or gets far more than its part. Uneven
+// it is: the least gets a tenth of the mean, as strangers cost more.
+TEST_F(ManyGateways, HostsAndZonesGetTheirPart) {
+  customers_.run(15'000);
+  auto& c = fleet_.counts();
+  int zones[3] = {};
+  for (HostId h = 1; h <= kHosts; ++h) {
+    zones[h % 3] += c.at[h];
+    EXPECT_GE(c.at[h], c.attempts / static_cast<int>(kHosts) / 15) << h;
+    EXPECT_LE(c.at[h], c.attempts / static_cast<int>(kHosts) * 5 / 2) << h;
+  }
+  for (const int n : zones) EXPECT_NEAR(n, c.attempts / 3.0, c.attempts / 30.0);
+  EXPECT_LE(c.other_zone, c.attempts / 50);
+  EXPECT_LE(c.handshakes, c.asked / 10);
+}
+
+// Seven in ten are killed at once and know no customer any more: each lets on first requests anew.
+TEST_F(ManyGateways, RestartsDoubleWhatIsBeyondAtTheMost) {
+  const auto beyond = [&] {
+    double sum = 0;
+    for (auto& a : customers_.accounts()) sum += a.beyond;
+    return sum;
+  };
+  customers_.run(8000);
+  const double before = beyond();
+  customers_.run(4000);
+  const double usual = beyond() - before;
+  for (std::size_t g = 0; g < kGateways * 7 / 10; ++g) fleet_.restart(g);
+  const double at_restart = beyond();
+  customers_.run(4000);
+  EXPECT_LE(beyond() - at_restart, usual * 2.05);
+}
+
 TEST(Causes, EachRefusalNamesItsOwn) {
   auto s = plain_settings();
   s.plans[0].overrun_cost = 1;
