--- a/src/control/shedding.cpp
+++ b/src/control/shedding.cpp
@@ -36,12 +36,13 @@
   return least;
 }
 
-// Worth a unit of work, against the last requests': the least worth goes first. Counting requests instead
-// of time, it is as sure at three a second as at a thousand.
+// Worth a unit of work, against the last requests': the least worth goes first, by number and not by time.
+// Danger: in a large fleet what is beyond a quota passes for inside and fills the hosts; so it begins early.
 bool Control::State::shed(double value, double work) {
-  const double floor = std::clamp(std::max({(load - kShedFrom) / (1 - kShedFrom),
-                                            (strain - kPressedShare) / (1 - kPressedShare), fulls()}),
-                                  0.0, kMostShed);
+  const double from = set.gateways > kThinSet ? kThinShedFrom : kShedFrom;
+  const double floor = std::clamp(
+      std::max({(load - from) / (1 - from), (strain - kPressedShare) / (1 - kPressedShare), fulls()}), 0.0,
+      kMostShed);
   const double tie = draw();
   double below = 0, all = 0;
   for (auto& [v, w] : recent) {
--- a/src/control/tuning.h
+++ b/src/control/tuning.h
@@ -26,6 +26,7 @@
 inline constexpr Ms kCalmMemoryMs = 60'000;    // longer than a rush or a slowdown
 inline constexpr double kCalmSamples = 40;     // completions that make a mean
 inline constexpr double kShedFrom = 0.5;       // of all limits in use: from here on the least worth is shed
+inline constexpr double kThinShedFrom = 0.2;   // in a large fleet
 inline constexpr double kBindFrom = 0.18;      // of the aim: mean latency from which on slices bind
 inline constexpr Ms kLoadMemoryMs = 300;       // a few requests' chance clusters are no pressure;
 inline constexpr double kLoadSamples = 10;  // where requests are rare, so many of them: fewer are all chance
@@ -50,12 +51,10 @@
 inline constexpr double kOverdueAfter = 2;   // class times without an answer, while later sends were answered
 inline constexpr double kBadAfter = 6;       // and such times of its host: a failure
 inline constexpr double kLostAfter = 4;      // class times, while later sends to the same host were answered
-inline constexpr double kBudgetEarned = 0.1;  // further attempts earned by each first send (retry budget)
-inline constexpr double kBudgetMost = 10;     // and the most that can be saved up
-inline constexpr double kTtlShare = 0.8;      // of a key's lifetime: leaves time for the way to the host
-// Of what a cold host is thought to bear: the rest is for error and chance.
-inline constexpr double kColdShare = 0.6;
-// What a gateway takes a customer for (see beyond_worth).
+inline constexpr double kBudgetEarned = 0.1;   // further attempts earned by each first send (retry budget)
+inline constexpr double kBudgetMost = 10;      // and the most that can be saved up
+inline constexpr double kTtlShare = 0.8;       // of a key's lifetime: leaves time for the way to the host
+inline constexpr double kColdShare = 0.6;      // of what a cold host bears: the rest is for error and chance
 inline constexpr double kDemandRequests = 8;   // that a slice lets expect in the memory of demand
 inline constexpr Ms kDemandMemoryMs = 1500;    // and at least so long: less than a customer's moves take
 inline constexpr double kPriorRequests = 0.4;  // seen of a usual customer before any is
@@ -82,7 +81,6 @@
 // Keeps `share` of an old mean after `dt`, for a memory of `span`.
 inline double faded(Ms dt, Ms span) { return std::exp(-std::max(dt, 0.0) / span); }
 
-inline constexpr double kKeptShare =
-    0.2;  // of each level, when another gateway takes over: connections end after their next answer
+inline constexpr double kKeptShare = 0.2;  // of each level, when another takes over: for what still comes
 
 }  // namespace thistlepond::detail
