Limits on attempts by class and route, proved before they serve

Need: a wrong time-out can place a second hold, and was learnt of when traffic arrived. src/limits (pure) takes attempts, attempt_ms, send_until_ms and second_copies of [limits.class.NAME] and of the external processor's rules, and proves by closed intervals that the longest chain of attempts, connections, way and clock error stays within the client's patience and the key's lifetime, and that nothing is repeated that must not be. The bounds go with each request to the module, which keeps them (permit, elsewhere, due); requests under way keep theirs. Without a file nothing changes.

--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -83,6 +84,15 @@
 
 enum class ListKind : std::uint8_t { kCached, kChanges, kWhole, kFailed };
 
+// What one request may do beside the site's own bounds, which hold as well. What is proved of them before
+// they are used is in src/limits.
+struct RequestBounds {
+  double attempts = std::numeric_limits<double>::infinity();  // at most, the first included
+  bool second_copies = true;                                  // one may go out while another is
+  Ms attempt_ms = 0;  // an attempt is given up after it; 0: at the request's end
+  Ms send_until_ms = std::numeric_limits<double>::infinity();  // after the arrival: no further attempt later
+};
+
 struct Request {
   RequestId id = 0;
   std::uint32_t class_index = 0;
@@ -92,6 +102,7 @@
   double units = 1;
   double spread = 1;    // gateways that this customer's requests come through
   bool repeat = false;  // a client's repeat, where clients mark it
+  RequestBounds bounds = {};
 };
 
 enum class Outcome : std::uint8_t {
--- a/src/control/attempts.cpp
+++ b/src/control/attempts.cpp
@@ -3,12 +3,12 @@
 
 namespace thistlepond {
 
-// What the request's class, its earlier attempts and the site allow now.
+// What the request's class, its bounds, its earlier attempts and the site allow now.
 Control::State::Permit Control::State::permit(const Held& r) const {
   if (r.over || r.streaming || now >= r.ask.expires_at) return {};
-  if (static_cast<double>(r.attempts.size()) >= set.max_attempts) return {};
+  if (!more(r)) return {};
   const double out = r.out();
-  if (out > 0 && (!set.second_copies || out > 1)) return {};
+  if (out > 0 && (!copies(r) || out > 1)) return {};
   const auto& c = cls(r);
   if (c.repeat == Repeat::kSafe) return {true, nullptr};
   for (auto& a : r.attempts) {
@@ -55,7 +55,7 @@
   const auto c = customers.find(r.ask.customer);
   if (c != customers.end()) c->second.open += 1;
   r.attempts.push_back({h.entry.id, now});
-  out.send(r.ask.id, h.entry.id, 0);
+  out.send(r.ask.id, h.entry.id, r.ask.bounds.attempt_ms);
   return true;
 }
 
@@ -114,7 +114,7 @@
 // Whether a further attempt could go to a host that was not tried. Danger: the only attempt that there will
 // be would be called off for nothing.
 bool Control::State::elsewhere(const Held& r) const {
-  if (static_cast<double>(r.attempts.size()) >= set.max_attempts) return false;
+  if (!more(r)) return false;
   return std::any_of(hosts.begin(), hosts.end(), [&](auto& entry) {
     return !r.tried(entry.first) && usable(entry.second) && !ejected(entry.second);
   });
@@ -140,7 +140,7 @@
   const bool late = now + kTokenDust >= r.attempts.back().sent + patience(r) && !pressed();
   if (r.out() == 1 && (late || (r.attempts.back().bad && !jammed())) && worth_trying(r)) {
     const auto last = static_cast<std::uint32_t>(r.attempts.size() - 1);
-    if (set.second_copies) {
+    if (copies(r)) {
       send_again(r, out);
     } else if (cls(r).repeat != Repeat::kUnsafe && elsewhere(r)) {
       call_off(r, last, out);  // its outcome brings the next attempt
@@ -153,8 +153,8 @@
 // full, and one of them would shut its host out for as long, as a host that owes only it is silent. So one
 // overtaken by much later sends to other hosts leaves the load, its host's bound and its silence; later
 // still it counts as a failure there, which ejects a host that is dead, and the request goes elsewhere. One
-// overtaken at its own host is lost. In a jam nothing is overtaken so. It could hurt where a host serves
-// its newest requests first, or where single requests are far longer than their class's mean.
+// overtaken at its own host is lost. It could hurt where a host serves its newest first, or where single
+// requests are far longer than their class's mean.
 void Control::State::find_lost(Actions& out) {
   for (auto& [id, r] : held) {
     const Ms expected = class_time(r.ask.class_index), late = kLostAfter * expected;
--- a/src/control/events.cpp
+++ b/src/control/events.cpp
@@ -94,11 +94,9 @@
   calm_at = now;
 }
 
-// A host's own word on its load. Danger: a report that is old, or missing while the host is busy, makes a
-// crowded host look idle. So a report fades towards the fleet's mean, and an answer without the report that
-// this site's hosts give counts as one of a full host. It also finds slow, jammed and unreachable hosts
-// (a probe that fails is no report). It could hurt where reports stop though hosts are idle: all look
-// alike.
+// A host's own word on its load. Danger: old, or missing while the host is busy, it makes a crowded host look
+// idle. So it fades towards the fleet's mean, and an answer without the report that this site's hosts give is
+// one of a full host. It also finds slow, jammed and unreachable hosts (a failed probe is no report).
 void Control::State::report(Host& h, const LoadReport& told, bool expected) {
   if (!told.queue && !told.in_hand && !told.busy) {
     if (!expected) return;
@@ -124,8 +122,7 @@
 }
 
 // A long value has begun to come: the host's work is done, and what is left is the client's pace. Danger:
-// counted on as load, slow readers would look like a jam; and its time to the last byte says nothing of the
-// host.
+// counted on as load, slow readers would look like a jam; and its time to the last byte tells nothing.
 void Control::State::stream_begun(Held& r, std::uint32_t attempt, Actions& out) {
   Attempt& a = r.attempts[attempt];
   if (r.streaming || !a.out) return;
--- a/src/control/hosts.cpp
+++ b/src/control/hosts.cpp
@@ -64,16 +64,14 @@
 // slowdown, a shrunk fleet and overload alike, and needs no time-out. It could hurt after a lull, when
 // little was completed of late; the least that keeps cores busy is therefore always allowed.
 // The bound on one host is whole and a little loose; the bound on the fleet, which decides shedding, is
-// not.
-// Danger: where requests take a good part of their aim on idle hosts, what is out looks like a queue, and
-// requests inside their quotas are shed with the back end half idle. So the wait aimed for is told by what
-// requests take here while nothing queues, within bounds by the aim. It meets long work, slow machines and
-// new hosts alike. It could hurt where all a gateway has ever seen is a jam; the aim then bounds it.
+// not. Danger: where requests take a good part of their aim on idle hosts, what is out looks like a queue,
+// and requests inside their quotas are shed with the back end half idle. So the wait aimed for is told by
+// what requests take here while nothing queues, within bounds by the aim. It meets long work, slow machines
+// and new hosts alike. It could hurt where all a gateway has ever seen is a jam; the aim then bounds it.
 Ms Control::State::allowed_wait() const {
   return std::clamp(kCalmTimes * calm_ms, kWaitShare * least_aim, kMostWaitShare * least_aim);
 }
 
-//
 // Danger: after a lull, or at its start, a gateway knows of no completions, and of many calls at once all
 // but a few were refused on idle hosts. So a warm host that has never answered may get more, and one that
 // was idle just now what it has proven to complete, for as long as the wait aimed for: by then it has shown
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -56,6 +56,12 @@
   }
   const ClassSettings& cls(const Held& r) const { return set.classes[r.ask.class_index]; }
   const PlanSettings& plan(const Held& r) const { return set.plans[r.ask.plan_index]; }
+  // What the site and the request's own bounds leave.
+  bool copies(const Held& r) const { return set.second_copies && r.ask.bounds.second_copies; }
+  bool more(const Held& r) const {
+    return static_cast<double>(r.attempts.size()) < std::min(set.max_attempts, r.ask.bounds.attempts) &&
+           (r.attempts.empty() || now <= r.arrived + r.ask.bounds.send_until_ms);
+  }
   Ms aim_of(const Held& r) const { return cls(r).aim_ms > 0 ? cls(r).aim_ms : cls(r).deadline_ms; }
   Ms aim_end(const Held& r) const {
     Ms aim = cls(r).late_share > 0 ? kNoTime : r.arrived + aim_of(r);
--- a/src/extproc/mapper.cpp
+++ b/src/extproc/mapper.cpp
@@ -203,6 +203,11 @@
     if (said > 0 || header == "grpc-timeout") m.wait = std::min(said, kLongestWait);
   }
   q.repeat = m.attempt > 1;
+  if (rule && rule->bounds && names_.classes[q.class_index] == rule->cls) {
+    q.bounds = *rule->bounds;
+  } else if (q.class_index < names_.bounds.size()) {
+    q.bounds = names_.bounds[q.class_index];
+  }
   return {};
 }
 
--- a/src/extproc/processor_settings.h
+++ b/src/extproc/processor_settings.h
@@ -18,7 +18,8 @@
   std::string path;    // without the query; a * at the end stands for anything; empty: any
   std::string cls, plan;
   std::optional<double> units;
-  std::string at;  // file and line, for errors
+  std::string at;                            // file and line, for errors
+  std::optional<RequestBounds> bounds = {};  // of attempts; for requests of the rule's own class
 };
 
 // Where the proxy's requests say what is to be known of them. An empty name: no header says it. Danger:
@@ -83,6 +84,7 @@
 struct Names {
   std::vector<std::string> classes, plans;
   thistlepond::Settings settings;
+  std::vector<RequestBounds> bounds = {};  // by class; none: no further bounds
 };
 
 // Throws SettingsError: a class or plan that the configuration does not have, with the place where it is
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -265,4 +265,33 @@
   return config;
 }
 
+void use_limits(Config& config) {
+  const auto& written = config.own.limits;
+  const auto verdict =
+      limits::prove(written, {config.class_names, config.settings, config.connect_timeout_ms});
+  std::string wrong;
+  for (const auto& refusal : verdict.refusals) {
+    if (!wrong.empty()) wrong += '\n';
+    wrong += refusal.line_text();
+  }
+  if (!wrong.empty()) throw ConfigError(wrong);
+  for (std::size_t i = 0; i < written.entries.size(); ++i) {
+    const auto& e = written.entries[i];
+    if (!e.route.empty()) config.own.processor.mapping.rules[e.rule].bounds = verdict.bounds.by_entry[i];
+  }
+  config.bounds.clear();
+  for (std::size_t i = 0; i < config.class_names.size(); ++i) {
+    config.bounds[config.class_names[i]] = verdict.bounds.by_class[i];
+  }
+}
+
+std::vector<RequestBounds> bounds_of(const Config& config, const std::vector<std::string>& classes) {
+  std::vector<RequestBounds> all(classes.size());
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    const auto it = config.bounds.find(classes[i]);
+    if (it != config.bounds.end()) all[i] = it->second;
+  }
+  return all;
+}
+
 }  // namespace thistlepond::net
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -40,6 +41,7 @@
   Ms connect_timeout_ms = 0;
   std::size_t max_open = 0;
   OwnSettings own;
+  std::map<std::string, RequestBounds> bounds;  // of classes that have some, by name
   std::string handover;  // where a second process of this gateway finds the first; empty: nowhere
 };
 
@@ -52,4 +54,10 @@
 // alone says where discovery is.
 Config reload_config(const std::function<const char*(const char*)>& variable);
 
+// Proves the limits in the gateway's own settings against this configuration, and puts them where they are
+// used. Throws ConfigError, with a line for each thing wrong and nothing changed.
+void use_limits(Config& config);
+// The bounds of these classes, by their order.
+std::vector<RequestBounds> bounds_of(const Config& config, const std::vector<std::string>& classes);
+
 }  // namespace thistlepond::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -86,6 +86,7 @@
   resp::Names names{
       config.class_names, config.plan_names, {}, config.settings.gateways, config.settings.largest_units};
   for (const auto& c : config.settings.classes) names.repeats.push_back(c.repeat);
+  names.bounds = bounds_of(config, config.class_names);
   return names;
 }
 
@@ -262,8 +263,12 @@
   const bool anew = config.settings_text != config_.settings_text;
   settings::Numbered numbered{config_.class_names, config_.plan_names, config_.settings};
   if (anew) numbered = settings::renumber(numbered, {config.class_names, config.plan_names, config.settings});
-  if (processor_) processor_->reload(config, {numbered.classes, numbered.plans, numbered.settings});
-  if (anew) take_settings(config, numbered);
+  if (processor_) {
+    processor_->reload(
+        config, {numbered.classes, numbered.plans, numbered.settings, bounds_of(config, numbered.classes)});
+  }
+  config_.bounds = config.bounds;
+  anew ? take_settings(config, numbered) : front_.set_names(names_of(config_));
   if (config.discovery != config_.discovery) {
     config_.discovery = config.discovery;
     discovery_.move(config.discovery);
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -56,15 +56,20 @@
   bool outcomes = false;
 };
 
+// With the gateway's own settings, if there are some, and their limits proved.
+Config with_own_settings(Config config, const Options& options) {
+  if (!options.settings.empty()) config.own = read_own_settings(options.settings);
+  use_limits(config);
+  return config;
+}
+
 // SIGHUP: the files have changed. Danger: a file that can't be read must not end a gateway that serves.
 void await_reload(boost::asio::signal_set& hangups, Gateway& gateway, const Options& options) {
   hangups.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
     await_reload(hangups, gateway, options);
     try {
-      Config config = reload_config(variable);
-      if (!options.settings.empty()) config.own = read_own_settings(options.settings);
-      gateway.reload(config);
+      gateway.reload(with_own_settings(reload_config(variable), options));
       log_line("configuration read again");
     } catch (const std::exception& bad) {
       gateway.reload_failed();
@@ -75,8 +80,7 @@
 
 int check_config(const Options& options) {
   try {
-    Config config = read_config_file(options.check);
-    if (!options.settings.empty()) config.own = read_own_settings(options.settings);
+    const Config config = with_own_settings(read_config_file(options.check), options);
     if (config.own.processor_at) extproc::check(config.own.processor, processor_names(config));
     std::printf("%s: good: %zu classes, %zu plans, %zu hosts known\n", options.check.c_str(),
                 config.class_names.size(), config.plan_names.size(), config.known.targets.size());
@@ -102,8 +106,7 @@
 int serve(const Options& options) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
-  Config config = load_config(variable);
-  if (!options.settings.empty()) config.own = read_own_settings(options.settings);
+  const Config config = with_own_settings(load_config(variable), options);
   raise_descriptor_limit(config.sockets);
   boost::asio::io_context io(1);
   Clock clock;
--- a/src/net/own_settings.cpp
+++ b/src/net/own_settings.cpp
@@ -195,22 +195,83 @@
   };
 }
 
-Take rules(const std::string& path, std::vector<extproc::Rule>& into) {
-  return [&path, &into](const toml::node& node) -> std::string {
+// A number of any size, with its line: what is lawful is for the proof to say.
+template <class Value>
+Take said(std::optional<limits::Said<Value>>& into) {
+  return [&into](const toml::node& node) -> std::string {
+    constexpr bool kFlag = std::is_same_v<Value, bool>;
+    if (kFlag ? !node.is_boolean() : !node.is_number()) return kFlag ? "true or false" : "a number";
+    into = {*node.value<Value>(), static_cast<int>(node.source().begin.line)};
+    return kTaken;
+  };
+}
+
+Known attempt_limits(limits::Entry& e) {
+  return {{"attempts", said(e.attempts)},
+          {"attempt_ms", said(e.attempt_ms)},
+          {"send_until_ms", said(e.send_until_ms)},
+          {"second_copies", said(e.second_copies)}};
+}
+
+// [limits.class.NAME], one for each class that has limits of its own.
+Take classes(const std::string& path, std::vector<limits::Entry>& into) {
+  return [path, &into](const toml::node& node) -> std::string {
+    const char* right = "at most 1024 tables: [limits.class.NAME]";
+    if (!node.is_table() || node.as_table()->size() > 1024) return right;
+    for (const auto& [key, value] : *node.as_table()) {
+      limits::Entry e;
+      e.cls = key.str();
+      e.line = static_cast<int>(key.source().begin.line);
+      const std::string name = "limits.class." + e.cls;
+      if (!inner(path, name, attempt_limits(e))(value).empty()) return right;
+      into.push_back(std::move(e));
+    }
+    return kTaken;
+  };
+}
+
+Known limit_settings(const std::string& path, limits::Written& w) {
+  return {{"network_ms",
+           [&w](const toml::node& node) -> std::string {
+             const char* right = "two numbers of milliseconds: the shortest and the longest way to a host";
+             if (!node.is_array() || node.as_array()->size() != 2) return right;
+             const auto& ends = *node.as_array();
+             if (!ends[0].is_number() || !ends[1].is_number()) return right;
+             w.network = {*ends[0].value<double>(), *ends[1].value<double>()};
+             w.network_line = static_cast<int>(node.source().begin.line);
+             return kTaken;
+           }},
+          {"clock_error_ms", number(w.clock_error, 0, 3.6e6, "a number of milliseconds from 0 to 3600000")},
+          {"class", classes(path, w.entries)}};
+}
+
+Take rules(const std::string& path, std::vector<extproc::Rule>& into, std::vector<limits::Entry>& limited) {
+  return [&path, &into, &limited](const toml::node& node) -> std::string {
     if (!node.is_array() || node.as_array()->size() > 1000) return "at most 1000 tables: [[extproc.rule]]";
     std::vector<extproc::Rule> all;
     for (const auto& element : *node.as_array()) {
       extproc::Rule rule;
       double units = 0;
-      const Known known{{"method", method(rule.method)},
-                        {"path", path_pattern(rule.path)},
-                        {"class", text(rule.cls, 1)},
-                        {"plan", text(rule.plan, 1)},
-                        {"units", number(units, 1e-6, 1e9, "a number above 0")}};
+      limits::Entry limit;
+      Known known{{"method", method(rule.method)},
+                  {"path", path_pattern(rule.path)},
+                  {"class", text(rule.cls, 1)},
+                  {"plan", text(rule.plan, 1)},
+                  {"units", number(units, 1e-6, 1e9, "a number above 0")}};
+      known.merge(attempt_limits(limit));
       if (const auto right = inner(path, "[extproc.rule]", known, &rule.at)(element); !right.empty()) {
         complain(path, element.source(), "extproc.rule must be " + right);
       }
       if (units > 0) rule.units = units;
+      if (limit.says_something()) {
+        if (rule.cls.empty())
+          complain(path, element.source(), "a rule that limits attempts must name its class");
+        limit.cls = rule.cls;
+        limit.route = (rule.method.empty() ? "" : rule.method + " ") + (rule.path.empty() ? "*" : rule.path);
+        limit.rule = all.size();
+        limit.line = static_cast<int>(element.source().begin.line);
+        limited.push_back(std::move(limit));
+      }
       all.push_back(std::move(rule));
     }
     into = std::move(all);
@@ -273,7 +334,7 @@
       {"silent_ms", number(s.grpc.silent_ms, 1, 3.6e6, ms)},
       {"answer_ms", number(s.grpc.answer_ms, 1, 3.6e6, ms)},
       {"request", inner(path, "extproc.request", request, &m.at)},
-      {"rule", rules(path, m.rules)},
+      {"rule", rules(path, m.rules, s.limits.entries)},
       {"load", inner(path, "extproc.load", load)},
   };
 }
@@ -282,7 +343,7 @@
 
 OwnSettings read_own_settings(const std::string& path) {
   OwnSettings s;
-  s.processor.mapping.at = path;
+  s.processor.mapping.at = s.limits.file = path;
   const Known hosts{
       {"rest_ms", number(s.rest_ms, 0, 10'000, "a number of milliseconds from 0 to 10000")},
       {"idle_per_host", number(s.idle_per_host, 0, 65'536, "a whole number from 0 to 65536")},
@@ -296,6 +357,7 @@
   }
   read_table(path, "", file,
              {{"hosts", inner(path, "hosts", hosts)},
+              {"limits", inner(path, "limits", limit_settings(path, s.limits))},
               {"extproc", inner(path, "extproc", processor_settings(path, s))}});
   return s;
 }
--- a/src/net/own_settings.h
+++ b/src/net/own_settings.h
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "attempt_limits.h"
 #include "grpc_listener.h"
 #include "processor_settings.h"
 #include "thistlepond/control.h"
@@ -30,6 +31,9 @@
   std::optional<boost::asio::ip::tcp::endpoint> processor_at;
   extproc::Settings processor;
   GrpcLimits grpc;
+
+  // [limits], and what rules of the external processor say of attempts; not proved yet (see use_limits).
+  limits::Written limits;
 };
 
 // Throws OwnSettingsError. Names that are not known are errors: a slip of the pen must not go unnoticed.
--- a/src/net/processor_server.cpp
+++ b/src/net/processor_server.cpp
@@ -8,7 +8,7 @@
 namespace thistlepond::net {
 
 extproc::Names processor_names(const Config& config) {
-  return {config.class_names, config.plan_names, config.settings};
+  return {config.class_names, config.plan_names, config.settings, bounds_of(config, config.class_names)};
 }
 
 ProcessorServer::ProcessorServer(boost::asio::io_context& io, Clock& clock, engine::Engine& engine,
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -178,6 +178,7 @@
     if (!list.empty()) *part += ',';
   }
   if ((seen & kNeeded) != kNeeded) return "c, t, d, units, spread and first are needed";
+  if (q.class_index < names_.bounds.size()) q.bounds = names_.bounds[q.class_index];
   const auto repeat = names_.repeats[q.class_index];
   if (repeat == Repeat::kKeyed && !(seen & kKey)) return "a keyed class needs k";
   if (same_word(words[0].text, "SVC.QUERY") != (repeat == Repeat::kSafe))
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -23,6 +23,7 @@
   std::vector<Repeat> repeats;  // of the classes
   double gateways = 1;
   double largest_units = 1;
+  std::vector<RequestBounds> bounds = {};  // by class; none: no further bounds
 };
 
 // Where replies go: the table of client connections.
