--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -155,7 +155,8 @@
 // ---- the second process ----
 
 std::unique_ptr<Predecessor> Predecessor::find(asio::io_context& io, const std::string& path) {
-  if (path.size() >= sizeof(sockaddr_un::sun_path)) return nullptr;  // no socket has such a name; see `listen`
+  if (path.size() >= sizeof(sockaddr_un::sun_path))
+    return nullptr;  // no socket has such a name; see `listen`
   Stream stream(io);
   error_code error;
   stream.connect(stream_protocol::endpoint(path), error);
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -9,6 +9,7 @@
 
 #include "attempt_limits.h"
 #include "config.h"
+#include "mapper.h"
 #include "own_settings.h"
 #include "support.h"
 
@@ -258,6 +259,28 @@
   EXPECT_GE(refused, 500);
 }
 
+// A request has its route's bounds if it is of the route's class, else its own class's.
+TEST(Limits, RequestsOfTheExternalProcessorCarryThem) {
+  extproc::Mapping mapping;
+  mapping.default_class = "lookup", mapping.default_plan = "team", mapping.default_customer = "c";
+  extproc::Rule rule;
+  rule.path = "/a", rule.cls = "lookup", rule.bounds = RequestBounds{.attempts = 2};
+  mapping.rules.push_back(rule);
+  extproc::Names names{{"lookup", "hold"}, {"team"}, plain_settings(2), {}};
+  names.bounds = {{.attempts = 3}, {.attempts = 1}};
+  const extproc::Mapper mapper(mapping, names, 1);
+  const auto attempts = [&](std::string_view path, std::string_view cls) {
+    std::vector<http2::HeaderView> headers{{":path", path}};
+    if (!cls.empty()) headers.push_back({"x-cometfold-class", cls});
+    const auto mapped = mapper.map(headers);
+    EXPECT_EQ(mapped.error, "");
+    return mapped.request.bounds.attempts;
+  };
+  EXPECT_EQ(attempts("/a", ""), 2);
+  EXPECT_EQ(attempts("/a", "hold"), 1);
+  EXPECT_EQ(attempts("/b", ""), 3);
+}
+
 // ---- the module keeps them ----
 
 Request bounded(RequestId id, RequestBounds bounds) {
