A network that breaks, between processes on loopback: the first part of the cluster rig

Need: how processes behave together when links fail can only be shown where links can fail. Six tests on sockets, each fault seen in one direction only.

--- /dev/null
+++ b/tests/network_test.cpp
@@ -0,0 +1,160 @@
+// The network that breaks: each fault is seen by two processes' sockets, in one direction only.
+#include "network.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "peer.h"
+
+namespace thistlepond::stand_ins::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+class Box {
+ public:
+  Box(asio::io_context& io, const asio::ip::address_v4& at, std::uint16_t port)
+      : socket_(io, udp::endpoint(at, port)) {}
+  void send(const udp::endpoint& to, const std::string& text) { socket_.send_to(asio::buffer(text), to); }
+  // What comes within a time; nothing if nothing does.
+  std::optional<std::string> take(int ms = kHangMs) {
+    if (!readable(socket_.native_handle(), ms)) return {};
+    char part[2000];
+    const auto n = socket_.receive_from(asio::buffer(part), from_);
+    return std::string(part, n);
+  }
+  udp::endpoint from() const { return from_; }
+
+ private:
+  udp::socket socket_;
+  udp::endpoint from_;
+};
+
+asio::ip::address_v4 address(unsigned third, unsigned last) {
+  const auto own = 64 + static_cast<unsigned>(::getpid()) % 128;  // tests run beside each other
+  return asio::ip::address_v4((127U << 24) | (own << 16) | (third << 8) | last);
+}
+
+class NetworkTest : public ::testing::Test {
+ protected:
+  ~NetworkTest() override {
+    io_.stop();
+    thread_.join();
+  }
+  template <class Do>
+  void on_loop(Do what) {
+    std::promise<void> done;
+    asio::post(io_, [&] {
+      what();
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+  void link(const Link& link) {
+    on_loop([&] { net_.set("a", "b", link); });
+  }
+  std::string across(const std::string& text) {
+    a_.send(net_.open_address("b"), text);
+    return b_.take().value_or("nothing");
+  }
+
+  asio::io_context io_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work_{io_.get_executor()};
+  Network net_{io_, 7};
+  std::uint16_t port_a_ = net_.add("a", address(0, 1), address(1, 1));
+  std::uint16_t port_b_ = net_.add("b", address(0, 2), address(1, 2));
+  Box a_{io_, address(0, 1), port_a_}, b_{io_, address(0, 2), port_b_};
+  std::thread thread_{[this] { io_.run(); }};
+};
+
+TEST_F(NetworkTest, DatagramsPassAndCanBeAnsweredWhereTheyCameFrom) {
+  EXPECT_EQ(across("hello"), "hello");
+  EXPECT_EQ(b_.from(), net_.open_address("a"));
+  b_.send(b_.from(), "and back");
+  EXPECT_EQ(a_.take(), "and back");
+}
+
+TEST_F(NetworkTest, SilenceIsOneWay) {
+  link({.silent = true});
+  a_.send(net_.open_address("b"), "lost");
+  b_.send(net_.open_address("a"), "heard");
+  EXPECT_EQ(a_.take(), "heard");
+  link({});
+  EXPECT_EQ(across("after"), "after");  // and not what was sent before
+}
+
+TEST_F(NetworkTest, CutsGoByGroups) {
+  on_loop([&] { net_.cut({{"a"}, {"b"}}); });
+  a_.send(net_.open_address("b"), "lost");
+  EXPECT_EQ(b_.take(50), std::nullopt);
+  on_loop([&] { net_.cut({}); });
+  EXPECT_EQ(across("healed"), "healed");
+  LinkCount count;
+  on_loop([&] { count = net_.count("a", "b"); });
+  EXPECT_EQ(count.datagrams, 2U);
+  EXPECT_EQ(count.lost, 1U);
+}
+
+TEST_F(NetworkTest, HarmsAsToldAndCountsIt) {
+  link({.corrupt = 1});
+  EXPECT_NE(across("whole"), "whole");
+  link({.truncate = 1});
+  EXPECT_LT(across("whole").size(), 5U);
+  link({.duplicate = 1});
+  EXPECT_EQ(across("twice"), "twice");
+  EXPECT_EQ(b_.take(), "twice");
+  link({.replay = 1});
+  std::set<std::string> got{across("new")};
+  got.insert(b_.take().value_or("nothing"));
+  EXPECT_TRUE(got.contains("new"));
+  EXPECT_EQ(got.size(), 2U);
+}
+
+TEST_F(NetworkTest, LossAndJitterAreDrawn) {
+  link({.loss = 0.5, .jitter_ms = 20});
+  for (int i = 0; i < 200; ++i) a_.send(net_.open_address("b"), std::to_string(1000 + i));
+  std::vector<std::string> came;
+  while (const auto text = b_.take(300)) came.push_back(*text);
+  EXPECT_GT(came.size(), 60U);
+  EXPECT_LT(came.size(), 140U);
+  EXPECT_FALSE(std::is_sorted(came.begin(), came.end()));
+}
+
+TEST_F(NetworkTest, StreamsPassStandDuringACutAndGoOn) {
+  asio::io_context mine;
+  asio::ip::tcp::acceptor at_b(mine, {address(0, 2), port_b_});
+  asio::ip::tcp::socket from_a(mine);
+  from_a.open(asio::ip::tcp::v4());
+  from_a.bind({address(0, 1), 0});
+  from_a.connect({address(1, 2), port_b_});
+  auto peer = at_b.accept();
+  EXPECT_EQ(peer.remote_endpoint().address(), address(1, 1));
+  const auto take = [&peer](std::size_t n) {
+    std::string text(n, '\0');
+    asio::read(peer, asio::buffer(text));
+    return text;
+  };
+  asio::write(from_a, asio::buffer(std::string("one")));
+  EXPECT_EQ(take(3), "one");
+  on_loop([&] { net_.cut({{"a"}, {"b"}}); });
+  asio::write(from_a, asio::buffer(std::string("two")));
+  EXPECT_FALSE(readable(peer.native_handle(), 60));
+  on_loop([&] { net_.cut({}); });
+  EXPECT_EQ(take(3), "two");
+  link({.truncate = 1});
+  asio::write(from_a, asio::buffer(std::string("four")));
+  EXPECT_EQ(take(2), "fo");
+  boost::system::error_code error;
+  char none;
+  peer.read_some(asio::buffer(&none, 1), error);
+  EXPECT_EQ(error, asio::error::eof);
+}
+
+}  // namespace
+}  // namespace thistlepond::stand_ins::testing
