--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,848 @@
+#include "membership.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace thistlepond::membership {
+
+namespace {
+
+constexpr double kSpent = 1e-5;      // so unlikely must loss alone be as the cause of a silence
+constexpr double kLeastLoss = 0.05;  // reckoned with where none was seen
+constexpr double kMostLoss = 0.8;
+constexpr double kLeastMisses = 4, kMostMisses = 16;
+constexpr int kMostTrouble = 8, kTroubled = 3;
+constexpr Ms kTroubleFades = 5000;
+constexpr Ms kLateByTicks = 1.0;  // periods that a tick may be late before this process blames itself
+constexpr Ms kLastsFirst = 2000, kLastsLater = 15'000;  // accusations, while fresh and later
+constexpr Ms kFresh = 3000;
+constexpr double kSayAgain = 1.0 / 3;  // of the time that it lasts
+constexpr Ms kWithdrawnKept = 5000;
+constexpr Ms kRivalFades = 5000;
+constexpr std::size_t kMostAccusers = 16, kMostOut = 64, kMostContacts = 64, kMostClaims = 64;
+constexpr int kSyncsATick = 2, kTellsATick = 8, kSyncDatagrams = 3;
+constexpr int kSendsByWatcher = 4;    // how often news rides along
+constexpr std::size_t kNewsUpTo = 2;  // pings without an answer
+constexpr int kReconnectTicks = 4, kHurryTicks = 12, kGoodbyes = 3;
+constexpr double kBurst = 100;  // datagrams beyond the rate, at once
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::uint64_t hash_of(const Record& r) {
+  const std::uint64_t numbers[] = {r.start, r.life, static_cast<std::uint64_t>(r.kind)};
+  return hash_of({reinterpret_cast<const char*>(numbers), sizeof numbers}, hash_of(r.name)) | 1;
+}
+
+std::uint64_t ring_hash(std::uint64_t name_hash, std::size_t ring) {
+  return XXH64(&name_hash, sizeof name_hash, ring + 1);
+}
+
+}  // namespace
+
+std::size_t size_of(const Record& r) {
+  return 64 + r.name.size() + r.address.size() + r.by.size() + r.extra.size();
+}
+std::size_t size_of(const Accusation& a) { return 56 + a.name.size() + a.by.size(); }
+
+Membership::Membership(const Settings& settings, Record self, std::vector<std::string> seeds, Draw draw)
+    : settings_(settings),
+      self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      draw_(std::move(draw)),
+      standing_(settings.better_after),
+      rings_(settings.watchers) {
+  std::erase(seeds_, self_.address);
+  number_ = draw_(std::uint64_t{1} << 62);
+}
+
+void Membership::start(Ms now) {
+  allowance_ = kBurst;
+  allowance_at_ = now;
+  Member& me = members_[self_.name];
+  me.hash = hash_of(self_.name);
+  set_record(now, me, self_);
+  spread(me);
+  hurry_ = kHurryTicks;
+  next_tick_ = now + static_cast<Ms>(draw_(static_cast<std::uint64_t>(settings_.period)));
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, seeds_.size()); ++i) {
+    ask_sync(now, seeds_[(draw_(seeds_.size()) + i) % seeds_.size()]);
+  }
+}
+
+// ---- what comes in ----
+
+void Membership::receive(Ms now, const Message& m) {
+  if (m.sender.name == self_.name) {
+    if (m.sender.life != self_.life) rival_said(now, m);
+    return;
+  }
+  if (asked_anew_) {
+    const bool answer = m.type == Message::kSyncReply || m.type == Message::kAck;
+    if (!answer || m.number <= *asked_anew_ || m.number > number_) return;
+    asked_anew_.reset();
+  }
+  merge(now, m.sender, true);
+  const auto it = members_.find(m.sender.name);
+  const bool known = it != members_.end();
+  const bool current = known && it->second.record.kind == Kind::kAlive &&
+                       same_start(it->second.record, m.sender) && m.sender.kind == Kind::kAlive;
+  if (!current) return receive_stale(now, m, known ? &it->second : nullptr);
+  contact(now, it->second);
+  const std::uint64_t before = self_.start;
+  for (const auto& r : m.records) merge(now, r, false);
+  for (const auto& a : m.accusations) take_accusation(now, a);
+  if (m.floor >= self_.start) raise(now, m.floor, "the others have forgotten lower numbers");
+  if (self_.start != before) ask_sync(now, m.sender.address);
+  if (m.type == Message::kPing) {
+    Message answer = message(now, Message::kAck);
+    answer.number = m.number;
+    ride_along(now, answer);
+    send(now, m.sender.address, std::move(answer));
+  } else if (m.type == Message::kAck) {
+    ack(now, m);
+  } else {
+    sync(now, m);
+  }
+  const bool news = m.type == Message::kPing || m.type == Message::kAck;
+  // While news is on its way everywhere digests differ; one that stays different has missed something.
+  if (news && m.digest != digest_ && now - digest_at_ > 3 * settings_.period && syncs_left_ > 0) {
+    --syncs_left_;
+    ask_sync(now, m.sender.address);
+  }
+}
+
+// From one that is over as far as is known here: it is told so, and what it says of this one counts, as each
+// side of a healed cut takes the other for over.
+void Membership::receive_stale(Ms now, const Message& m, const Member* known) {
+  ++counts_.stale;
+  const std::uint64_t before = self_.start;
+  for (const auto& r : m.records) {
+    if (r.name == self_.name) merge_self(now, r);
+  }
+  if (m.floor >= self_.start) raise(now, m.floor, "the others have forgotten lower numbers");
+  if (self_.start != before) ask_sync(now, m.sender.address);
+  if (m.sender.kind != Kind::kAlive || tells_left_ <= 0) return;
+  --tells_left_;
+  Message tell = message(now, Message::kTell);
+  if (known) {
+    tell.records.push_back(told(now, *known));
+  } else {
+    tell.floor = floor_;
+  }
+  send(now, m.sender.address, std::move(tell));
+}
+
+bool Membership::merge(Ms now, const Record& r, bool own_word) {
+  if (r.name == self_.name) {
+    if (!own_word) merge_self(now, r);
+    return false;
+  }
+  if (r.name.empty() || r.name.size() > kLargestName || r.address.empty()) return ++counts_.refused, false;
+  const auto it = members_.find(r.name);
+  if (it != members_.end()) {
+    Member& m = it->second;
+    if (m.dropped && !own_word && r.kind == Kind::kAlive && order_of(r) <= order_of(m.record)) {
+      return hearsay_of_dropped(now, m, r);
+    }
+    if (order_of(r) <= order_of(m.record)) {
+      // Who still tells of one that is over is told; such a record may be too old for the digests.
+      if (m.record.kind != Kind::kAlive && r.kind == Kind::kAlive && !own_word && m.record_sends == 0)
+        spread(m);
+      return false;
+    }
+    set_record(now, it->second, r);
+    spread(it->second);
+    return true;
+  }
+  // Of a name that is not known, only who hears it has anything to tell: others may have kept an old copy.
+  const bool old = r.kind == Kind::kAlive ? r.start <= floor_ || (!own_word && r.age_ms > 0)
+                                          : r.age_ms >= settings_.forget;
+  if (old) return false;
+  if (members_.size() >= settings_.most) return ++counts_.refused, false;
+  Member& m = members_[r.name];
+  m.hash = hash_of(r.name);
+  set_record(now, m, r);
+  spread(m);
+  return true;
+}
+
+// What others say of this one.
+void Membership::merge_self(Ms now, const Record& r) {
+  if (left_ || order_of(r) <= order_of(self_)) return;
+  if (same_start(r, self_)) {
+    ++counts_.returned;
+    return raise(now, r.start, r.kind == Kind::kLeft ? "others say that it left" : "others called it failed");
+  }
+  if (r.kind != Kind::kAlive) {
+    return raise(
+        now, r.start,
+        displaced_ ? "the other process of this name is over" : "a process before it had a higher number");
+  }
+  if (displaced_) return yield_to(now, r);
+  // The first time it may be this one's own past, which the others don't know to be over. The dead raise no
+  // numbers: who is above this one's new number again runs.
+  if (claims_.size() >= kMostClaims) claims_.clear();
+  const int claims = ++claims_[r.life];
+  if (claims > 1 && r.life > self_.life) return yield_to(now, r);
+  if (claims > 1) set_rival(now, r.address, r.start);
+  raise(now, r.start,
+        claims > 1 ? "another process has this name" : "this name was known with a higher number");
+}
+
+// The younger process keeps the name. This one takes no part until the other is over.
+void Membership::yield_to(Ms now, const Record& r) {
+  if (!displaced_) subjects_.clear();
+  displaced_ = true;
+  set_rival(now, r.address, r.start);
+  set_record(now, members_[self_.name], r);
+}
+
+void Membership::set_rival(Ms now, const std::string& address, std::uint64_t start) {
+  if (rival_ != address) change(Change::kConflict, self_.name, start, State::kAlive, address);
+  rival_ = address;
+  rival_at_ = now;
+  rival_start_ = start;
+}
+
+void Membership::raise(Ms now, std::uint64_t above, const char* why) {
+  if (left_) return;
+  self_.start = above + 1;
+  displaced_ = false;
+  Member& me = members_[self_.name];
+  set_record(now, me, self_);
+  spread(me);
+  rings_old_ = true;
+  change(Change::kNewStart, self_.name, self_.start, State::kAlive, why);
+}
+
+// Another process with this one's name. Its word alone proves nothing, it may be old; that it knows this
+// one's present start number does.
+void Membership::rival_said(Ms now, const Message& m) {
+  if (order_of(m.sender) > order_of(self_)) return merge_self(now, m.sender);
+  if (m.displaced_by == self_.start && !displaced_) set_rival(now, m.sender.address, m.sender.start);
+  for (const auto& r : m.records) {
+    if (r.name == self_.name) merge_self(now, r);
+  }
+  if (tells_left_ <= 0) return;
+  --tells_left_;
+  Message tell = message(now, Message::kTell);
+  tell.records.push_back(self_);
+  send(now, m.sender.address, std::move(tell));
+}
+
+// Heard itself. Who was dropped in a cut counts again.
+void Membership::contact(Ms now, Member& member) {
+  member.heard_at = now;
+  if (member.dropped) take_back(now, member);
+}
+
+// A copy that somebody merely kept takes nobody back: the teller has to hear it. Who counts on it because
+// this one, a watcher in its eyes, does not complain is told.
+bool Membership::hearsay_of_dropped(Ms now, Member& m, const Record& r) {
+  if (r.age_ms <= 0 && same_start(r, m.record)) {
+    take_back(now, m);
+    return true;
+  }
+  if (m.record_sends == 0) spread(m);
+  put_accuser(now, m, {self_.name, self_.start, ++version_, now + kLastsLater, false});
+  return false;
+}
+
+void Membership::take_back(Ms now, Member& m) {
+  m.dropped = false;
+  m.unheard_since = m.quorum_since = -1;
+  m.heard_at = now;
+  m.heard = true;
+  const bool accused =
+      std::any_of(m.accusers.begin(), m.accusers.end(), [&](auto& a) { return a.by == self_.name; });
+  m.accusers.clear();
+  if (accused) put_accuser(now, m, {self_.name, self_.start, ++version_, 0, true});
+  rings_old_ = true;
+  set_digest(now, m);
+  show(now, m);
+  spread(m);
+}
+
+void Membership::take_accusation(Ms now, const Accusation& a) {
+  if (a.by == self_.name) return;
+  const auto it = members_.find(a.name);
+  const auto by = members_.find(a.by);
+  if (it == members_.end() || by == members_.end() || !counts(by->second)) return;
+  Member& m = it->second;
+  if (!counts(m) || m.record.start != a.start || m.record.life != a.life) return;
+  if (by->second.record.start != a.by_start) return;
+  put_accuser(now, m,
+              {a.by, a.by_start, a.version, now + std::min(a.lasts_ms, kLastsLater), a.lasts_ms <= 0});
+}
+
+void Membership::put_accuser(Ms now, Member& m, Accuser accuser) {
+  if (accuser.withdrawn) accuser.until = now + kWithdrawnKept;
+  auto it = std::find_if(m.accusers.begin(), m.accusers.end(), [&](auto& a) { return a.by == accuser.by; });
+  if (it == m.accusers.end()) {
+    if (m.accusers.size() >= kMostAccusers) m.accusers.erase(m.accusers.begin());
+    m.accusers.push_back(std::move(accuser));
+  } else {
+    if (std::pair{it->by_start, it->version} >= std::pair{accuser.by_start, accuser.version}) return;
+    *it = std::move(accuser);
+  }
+  m.accusation_sends = kSendsByWatcher * static_cast<int>(settings_.watchers);
+  queue(m);
+  show(now, m);
+}
+
+void Membership::ack(Ms now, const Message& m) {
+  const auto subject = subjects_.find(m.sender.name);
+  if (subject == subjects_.end()) return;
+  Subject& s = subject->second;
+  const auto it = std::find_if(s.out.begin(), s.out.end(), [&](auto& p) { return p.first == m.number; });
+  if (it == s.out.end()) return;
+  constexpr double kOne = 1.0 / 32, kAll = 1.0 / 256;
+  const auto learn = [&](double lost) {
+    s.loss += (lost - s.loss) * kOne;
+    loss_ += (lost - loss_) * kAll;
+  };
+  for (auto before = s.out.begin(); before != it; ++before) learn(1);
+  learn(0);
+  const Ms took = now - it->second;
+  s.round_trip = s.round_trip < 0 ? took : s.round_trip + (took - s.round_trip) / 8;
+  s.out.erase(s.out.begin(), it + 1);
+  if (s.accused) accuse(now, members_.at(m.sender.name), s, false);
+}
+
+void Membership::sync(Ms now, const Message& m) {
+  if (m.buckets.size() != kBuckets) return;
+  if (m.type == Message::kSync) send_records(now, m, Message::kSyncReply);
+  if (m.type == Message::kSyncReply) send_records(now, m, Message::kSyncBack);
+}
+
+// ---- time ----
+
+void Membership::tick(Ms now) {
+  notice_jump(now);
+  next_tick_ = now + settings_.period;
+  last_tick_ = now;
+  syncs_left_ = kSyncsATick;
+  tells_left_ = kTellsATick;
+  if (left_) return say_goodbye(now);
+  if (rings_old_) rebuild_rings(now);
+  judge_subjects(now);
+  listen(now);
+  judge(now);
+  forget(now);
+  if (rings_old_) rebuild_rings(now);
+  ping_subjects(now);
+  reconnect(now);
+  if (!rival_.empty() && !displaced_ && now - rival_at_ > kRivalFades) {
+    change(Change::kConflictOver, self_.name, rival_start_, State::kAlive, rival_);
+    rival_.clear();
+  }
+}
+
+// Time that passed without this process running is nobody else's fault: pings that went unanswered in it, and
+// silences, are forgiven.
+void Membership::notice_jump(Ms now) {
+  const Ms late = last_tick_ > 0 ? now - last_tick_ - settings_.period : 0;
+  if (late <= kLateByTicks * settings_.period) {
+    if (trouble_ > 0 && now - trouble_at_ > kTroubleFades) --trouble_, trouble_at_ = now;
+    return;
+  }
+  trouble_ = std::min(kMostTrouble, trouble_ + (late > 4 * settings_.period ? kTroubled : 1));
+  trouble_at_ = now;
+  starved_until_ = now + hearing_window();
+  if (late > 1000)
+    change(Change::kStopped, self_.name, self_.start, State::kAlive, std::to_string(std::lround(late)));
+  if (late > settings_.forget / 2) return start_over(now);
+  for (auto& [name, s] : subjects_) {
+    s.out.clear();
+    if (s.accused) accuse(now, members_.at(name), s, false);
+  }
+  for (auto& [name, m] : members_) {
+    m.heard_at += late;
+    m.unheard_since = m.quorum_since = -1;
+  }
+}
+
+// So long away that others may have forgotten who is over meanwhile: what it knows of the living would revive
+// them. Only the addresses are kept, to ask there, and who is over.
+void Membership::start_over(Ms now) {
+  for (auto it = members_.begin(); it != members_.end();) {
+    Member& m = (it++)->second;
+    m.watchers.clear();
+    if (m.record.name == self_.name || m.record.kind != Kind::kAlive) continue;
+    const auto& address = m.record.address;
+    if (seeds_.size() < kMostContacts && std::find(seeds_.begin(), seeds_.end(), address) == seeds_.end()) {
+      seeds_.push_back(address);
+    }
+    bucket_digests_[m.hash % kBuckets] ^= m.digest;
+    digest_ ^= m.digest;
+    std::erase(news_, &m);
+    members_.erase(std::prev(it));
+  }
+  subjects_.clear();
+  rings_.assign(settings_.watchers, {});
+  hurry_ = kHurryTicks;
+  // What waited in the socket meanwhile is as old: only answers to what it asks from now on count at first.
+  number_ = draw_(std::uint64_t{1} << 62);
+  asked_anew_ = number_;
+  raise(now, self_.start, "it was stopped for longer than the others remember");
+}
+
+void Membership::rebuild_rings(Ms now) {
+  rings_old_ = false;
+  for (std::size_t r = 0; r < rings_.size(); ++r) {
+    rings_[r].clear();
+    for (auto& [name, m] : members_) {
+      if (counts(m)) rings_[r].push_back({ring_hash(m.hash, r), &m});
+    }
+    std::sort(rings_[r].begin(), rings_[r].end(), [](auto& a, auto& b) {
+      return std::tie(a.hash, a.member->record.name) < std::tie(b.hash, b.member->record.name);
+    });
+  }
+  std::map<std::string, Subject> chosen;
+  for (auto& [name, m] : members_) {
+    if (!counts(m)) {
+      m.watchers.clear();
+      continue;
+    }
+    find_watchers(now, m);
+    const bool mine = std::any_of(m.watchers.begin(), m.watchers.end(),
+                                  [&](const Watcher& w) { return w.member->record.name == self_.name; });
+    if (!mine || displaced_) continue;
+    const auto had = subjects_.find(name);
+    const bool same = had != subjects_.end() && had->second.start == m.record.start;
+    chosen.emplace(name, same ? had->second : Subject{.start = m.record.start, .loss = loss_});
+  }
+  // Who is no longer watched is no longer accused. Danger: of one that counts no more nothing is taken back,
+  // as others, for whom it still does, would take that for a good word.
+  for (auto& [name, s] : subjects_) {
+    const auto m = members_.find(name);
+    if (s.accused && !chosen.contains(name) && m != members_.end() && counts(m->second))
+      accuse(now, m->second, s, false);
+  }
+  subjects_ = std::move(chosen);
+}
+
+// The next in each ring; where that one was chosen already, the one after it. Who comes to watch one that is
+// in doubt has to have had time to complain before its silence on it counts.
+void Membership::find_watchers(Ms now, Member& m) {
+  const auto before = std::exchange(m.watchers, {});
+  const Ms newly = m.heard && m.accusers.empty() ? now : now + hearing_window();
+  const auto is = [](const Member* w) { return [w](const Watcher& other) { return other.member == w; }; };
+  for (std::size_t r = 0; r < rings_.size(); ++r) {
+    const auto& ring = rings_[r];
+    auto at = static_cast<std::size_t>(
+        std::upper_bound(ring.begin(), ring.end(), ring_hash(m.hash, r),
+                         [](std::uint64_t h, const RingPlace& p) { return h < p.hash; }) -
+        ring.begin());
+    for (std::size_t steps = 0; steps < ring.size(); ++steps, ++at) {
+      Member* w = ring[at % ring.size()].member;
+      if (w == &m || std::any_of(m.watchers.begin(), m.watchers.end(), is(w))) continue;
+      const auto had = std::find_if(before.begin(), before.end(), is(w));
+      m.watchers.push_back({w, had == before.end() ? newly : had->speaks_from});
+      break;
+    }
+  }
+}
+
+// So many pings in a row go unanswered by loss alone with a chance of kSpent; a process in trouble asks for
+// more.
+int Membership::needed_misses(double loss) const {
+  const double p = std::clamp(loss, kLeastLoss, kMostLoss);
+  const double n = std::clamp(std::ceil(std::log(kSpent) / std::log(p)), kLeastMisses, kMostMisses);
+  return static_cast<int>(n) + trouble_;
+}
+
+Ms Membership::hearing_window() const { return (needed_misses(loss_) + 1) * settings_.period; }
+
+void Membership::judge_subjects(Ms now) {
+  for (auto& [name, s] : subjects_) {
+    const Ms patient = std::clamp(3 * s.round_trip, 0.8 * settings_.period, 4 * settings_.period);
+    const auto misses =
+        std::count_if(s.out.begin(), s.out.end(), [&](auto& p) { return now - p.second >= patient; });
+    if (!s.accused && misses < needed_misses(std::max(loss_, s.loss))) continue;
+    if (!s.accused || now - s.said_at >= s.lasts * kSayAgain) accuse(now, members_.at(name), s, true);
+  }
+}
+
+void Membership::accuse(Ms now, Member& m, Subject& s, bool on) {
+  if (on && !s.accused) s.accused_at = now, ++counts_.accused;
+  if (!on) ++counts_.withdrawn;
+  s.accused = on;
+  s.said_at = now;
+  s.lasts = now - s.accused_at < kFresh ? kLastsFirst : kLastsLater;
+  put_accuser(now, m, {self_.name, self_.start, ++version_, now + s.lasts, !on});
+}
+
+bool Membership::fresh(Ms now, const Accuser& a) const {
+  if (a.withdrawn || a.until <= now) return false;
+  const auto by = members_.find(a.by);
+  return by != members_.end() && counts(by->second) && by->second.record.start == a.by_start;
+}
+
+std::size_t Membership::accusers(Ms now, const Member& m) const {
+  return static_cast<std::size_t>(
+      std::count_if(m.accusers.begin(), m.accusers.end(), [&](auto& a) { return fresh(now, a); }));
+}
+
+bool Membership::accuses(Ms now, const std::string& by, const Member& m) const {
+  return std::any_of(m.accusers.begin(), m.accusers.end(),
+                     [&](auto& a) { return a.by == by && fresh(now, a); });
+}
+
+bool Membership::enough_accuse(Ms now, const Member& m) const {
+  const std::size_t most = m.watchers.size() / 2 + 1;
+  return !m.watchers.empty() && accusers(now, m) >= std::min(settings_.quorum, most);
+}
+
+// Who is heard: whoever spoke to this one of late, and whoever has watchers that are heard, of which no more
+// than half complain. Danger: one complaint that has not come through yet must not make a whole side of a cut
+// heard, from watcher to watcher; so it is the majority of those heard that counts.
+void Membership::listen(Ms now) {
+  const Ms window = hearing_window();
+  bool all = true;
+  for (auto& [name, m] : members_) {
+    if (!counts(m)) continue;
+    std::erase_if(m.accusers, [&](auto& a) { return a.until <= now; });
+    m.heard = name == self_.name ||
+              (now - m.heard_at <= window && !accuses(now, self_.name, m) && !enough_accuse(now, m));
+    all &= m.heard;
+  }
+  for (bool more = !all; more;) {
+    more = false;
+    for (auto& [name, m] : members_) {
+      if (!counts(m) || m.heard || enough_accuse(now, m)) continue;
+      std::size_t speak = 0, complain = 0;
+      for (const auto& [w, speaks_from] : m.watchers) {
+        if (!w->heard) continue;
+        if (accuses(now, w->record.name, m)) {
+          ++complain;
+        } else if (now >= speaks_from) {
+          ++speak;
+        }
+      }
+      m.heard = speak > 0 && speak >= complain;
+      more |= m.heard;
+    }
+  }
+  Hearing hearing{0, 0, starved(now) || trouble_ >= kTroubled || displaced_ || !rival_.empty()};
+  for (auto& [name, m] : members_) {
+    if (!counts(m)) continue;
+    ++hearing.known;
+    hearing.heard += m.heard;
+    if (m.heard) {
+      m.unheard_since = -1;
+    } else if (m.unheard_since < 0) {
+      m.unheard_since = now;
+    }
+    show(now, m);
+  }
+  if (standing_.look(now, hearing)) {
+    change(Change::kStanding, self_.name, self_.start, State::kAlive, std::string(name_of(standing_.now())));
+  }
+}
+
+void Membership::judge(Ms now) {
+  if (starved(now)) return;
+  for (auto& [name, m] : members_) {
+    if (!counts(m) || name == self_.name) continue;
+    if (!enough_accuse(now, m)) {
+      m.quorum_since = -1;
+    } else if (m.quorum_since < 0) {
+      m.quorum_since = now;
+    }
+    const bool accused = m.quorum_since >= 0 && now - m.quorum_since >= settings_.settle;
+    const bool silent = m.unheard_since >= 0 && now - m.unheard_since >= settings_.patience;
+    if ((accused || silent) && standing_.may_judge()) {
+      ++counts_.judged;
+      Record failed = m.record;
+      failed.kind = Kind::kFailed;
+      failed.age_ms = 0;
+      failed.by = self_.name;
+      set_record(now, m, failed);
+      spread(m);
+    } else if (silent) {
+      m.dropped = true;
+      rings_old_ = true;
+      set_digest(now, m);
+    }
+  }
+}
+
+void Membership::forget(Ms now) {
+  for (auto it = members_.begin(); it != members_.end();) {
+    Member& m = (it++)->second;
+    const Ms age = now - (m.dropped ? m.unheard_since : m.since);
+    if (counts(m) || age < settings_.forget / 2 || m.record.name == self_.name) continue;
+    set_digest(now, m);
+    if (age < settings_.forget) continue;
+    if (!m.dropped) floor_ = std::max(floor_, m.record.start);
+    std::erase(news_, &m);
+    members_.erase(std::prev(it));
+  }
+}
+
+void Membership::ping_subjects(Ms now) {
+  for (auto& [name, s] : subjects_) {
+    Message ping = message(now, Message::kPing);
+    ping.number = ++number_;
+    s.out.emplace_back(ping.number, now);
+    if (s.out.size() > kMostOut) s.out.pop_front();
+    if (s.out.size() <= kNewsUpTo) ride_along(now, ping);  // news is not wasted on the silent
+    send(now, members_.at(name).record.address, std::move(ping));
+  }
+}
+
+// Whoever is silent may be back, and a seed that is nobody here may be one of a cluster that knows nothing of
+// this one.
+void Membership::reconnect(Ms now) {
+  ++ticks_;
+  const bool lonely = standing_.now() == Standing::kAlone && hurry_ > 0;
+  if (lonely) --hurry_;
+  if (!lonely && ticks_ % kReconnectTicks != 0) return;
+  std::vector<const std::string*> silent, nobody;
+  for (const auto& [name, m] : members_) {
+    const bool over = m.record.kind == Kind::kFailed || m.dropped || (counts(m) && !m.heard);
+    if (over && name != self_.name) silent.push_back(&m.record.address);
+  }
+  for (const auto& seed : seeds_) {
+    const bool heard = std::any_of(members_.begin(), members_.end(), [&](auto& entry) {
+      return entry.second.record.address == seed && counts(entry.second) && entry.second.heard;
+    });
+    if (!heard) nobody.push_back(&seed);
+  }
+  if (!silent.empty()) {
+    Message ping = message(now, Message::kPing);
+    ping.number = ++number_;
+    send(now, *silent[draw_(silent.size())], std::move(ping));
+  }
+  if (!nobody.empty()) ask_sync(now, *nobody[draw_(nobody.size())]);
+  if (displaced_) {
+    send(now, rival_, message(now, Message::kPing));
+    std::vector<const std::string*> heard;
+    for (const auto& [name, m] : members_) {
+      if (counts(m) && name != self_.name) heard.push_back(&m.record.address);
+    }
+    if (!heard.empty()) ask_sync(now, *heard[draw_(heard.size())]);
+  }
+}
+
+void Membership::leave(Ms now) {
+  if (left_) return;
+  left_ = true;
+  if (displaced_) return;
+  self_.kind = Kind::kLeft;
+  self_.by = self_.name;
+  set_record(now, members_.at(self_.name), self_);
+  goodbyes_ = kGoodbyes;
+  say_goodbye(now);
+}
+
+void Membership::say_goodbye(Ms now) {
+  if (goodbyes_ <= 0) return;
+  --goodbyes_;
+  std::vector<std::string> to;
+  for (const auto& [name, s] : subjects_) to.push_back(members_.at(name).record.address);
+  for (const auto& w : members_.at(self_.name).watchers) to.push_back(w.member->record.address);
+  std::sort(to.begin(), to.end());
+  to.erase(std::unique(to.begin(), to.end()), to.end());
+  for (auto& address : to) send(now, address, message(now, Message::kPing));
+}
+
+// ---- what goes out ----
+
+Message Membership::message(Ms, Message::Type type) const {
+  Message m;
+  m.type = type;
+  m.sender = self_;
+  m.digest = digest_;
+  if (displaced_) m.displaced_by = rival_start_;
+  return m;
+}
+
+Record Membership::told(Ms now, const Member& m) const {
+  Record r = m.record;
+  if (r.kind == Kind::kAlive) {
+    r.age_ms = m.unheard_since < 0 ? 0 : std::max(1.0, now - m.unheard_since);
+  } else {
+    r.age_ms = std::max(0.0, now - m.since);
+  }
+  return r;
+}
+
+// As much news as fits. Danger: pings go to the same members in the same order each time, so the news has to
+// start anywhere, or each would always hear the same part.
+void Membership::ride_along(Ms now, Message& message) {
+  if (news_.size() > 1) {
+    const auto first = static_cast<std::ptrdiff_t>(draw_(news_.size()));
+    std::rotate(news_.begin(), news_.begin() + first, news_.end());
+  }
+  std::size_t used = size_of(message.sender) + 40;
+  for (std::size_t i = news_.size(); i > 0; --i) {
+    Member& m = *news_.front();
+    if (m.record_sends > 0) {
+      const std::size_t more = size_of(m.record);
+      if (used + more > kLargestMessage) return;
+      used += more;
+      --m.record_sends;
+      message.records.push_back(told(now, m));
+    }
+    if (m.accusation_sends > 0) {
+      std::size_t more = 0;
+      for (const auto& a : m.accusers) more += 56 + m.record.name.size() + a.by.size();
+      if (used + more > kLargestMessage) return;
+      used += more;
+      --m.accusation_sends;
+      for (const auto& a : m.accusers) {
+        if (!a.withdrawn && a.until <= now) continue;
+        message.accusations.push_back({m.record.name, m.record.start, m.record.life, a.by, a.by_start,
+                                       a.version, a.withdrawn ? 0 : a.until - now});
+      }
+    }
+    news_.pop_front();
+    m.queued = m.record_sends > 0 || m.accusation_sends > 0;
+    if (m.queued) news_.push_back(&m);
+  }
+}
+
+void Membership::ask_sync(Ms now, const std::string& to) {
+  Message m = message(now, Message::kSync);
+  m.buckets = bucket_digests_;
+  m.number = ++number_;
+  ++counts_.syncs;
+  send(now, to, std::move(m));
+}
+
+// The records of buckets that differ, from one of them on by chance, so that all have their turn; the last
+// datagram of a reply has the digests, which ask for the rest.
+void Membership::send_records(Ms now, const Message& asked, Message::Type type) {
+  std::vector<const Member*> differ;
+  for (const auto& [name, m] : members_) {
+    const std::size_t bucket = m.hash % kBuckets;
+    if (m.digest != 0 && asked.buckets[bucket] != bucket_digests_[bucket]) differ.push_back(&m);
+  }
+  const bool reply = type == Message::kSyncReply;
+  if (differ.empty() && !reply) return;
+  const std::size_t first = differ.empty() ? 0 : draw_(differ.size());
+  std::size_t next = 0;
+  for (int n = 1; n <= kSyncDatagrams; ++n) {
+    Message m = message(now, type);
+    m.number = asked.number;
+    std::size_t used = size_of(m.sender) + 40 + 9 * kBuckets;
+    for (; next < differ.size(); ++next) {
+      const Member& member = *differ[(first + next) % differ.size()];
+      used += size_of(member.record);
+      if (used > kLargestMessage) break;
+      m.records.push_back(told(now, member));
+    }
+    const bool last = n == kSyncDatagrams || next == differ.size();
+    if (reply && last) m.buckets = bucket_digests_;
+    send(now, asked.sender.address, std::move(m));
+    if (last) return;
+  }
+}
+
+void Membership::send(Ms now, const std::string& to, Message message) {
+  allowance_ = std::min(kBurst, allowance_ + (now - allowance_at_) * settings_.datagrams_rate / 1000);
+  allowance_at_ = now;
+  if (allowance_ < 1) {
+    ++counts_.held_back;
+    return;
+  }
+  allowance_ -= 1;
+  out_.push_back({to, std::move(message)});
+}
+
+// ---- state ----
+
+void Membership::set_record(Ms now, Member& m, const Record& record) {
+  const bool same = same_start(m.record, record) && !m.record.name.empty();
+  m.record = record;
+  m.record.age_ms = 0;
+  m.since = now - (record.kind == Kind::kAlive ? 0 : record.age_ms);
+  m.dropped = false;
+  m.unheard_since = m.quorum_since = -1;
+  if (!same || record.kind != Kind::kAlive) m.accusers.clear();
+  if (!same && (record.kind != Kind::kAlive || record.age_ms <= 0)) {
+    m.heard_at = now;  // it is given time to speak
+    m.heard = true;
+  }
+  rings_old_ = true;
+  set_digest(now, m);
+  show(now, m, !same);
+}
+
+void Membership::set_digest(Ms now, Member& m) {
+  const bool fading = m.record.kind != Kind::kAlive && now - m.since >= settings_.forget / 2;
+  const std::uint64_t digest = m.dropped || fading ? 0 : hash_of(m.record);
+  if (digest == m.digest) return;
+  bucket_digests_[m.hash % kBuckets] ^= m.digest ^ digest;
+  digest_ ^= m.digest ^ digest;
+  m.digest = digest;
+  digest_at_ = now;
+}
+
+void Membership::show(Ms now, Member& m, bool anew) {
+  State state = State::kAlive;
+  if (m.record.kind == Kind::kLeft) {
+    state = State::kLeft;
+  } else if (m.record.kind == Kind::kFailed) {
+    state = State::kFailed;
+  } else if (!m.heard || accusers(now, m) > 0) {
+    state = State::kSuspect;
+  }
+  if (m.dropped || (state == m.shown && !anew)) return;
+  m.shown = state;
+  m.shown_since = state >= State::kFailed ? m.since : now;
+  change(Change::kMember, m.record.name, m.record.start, state, m.record.by);
+}
+
+void Membership::spread(Member& m) {
+  m.record_sends = kSendsByWatcher * static_cast<int>(settings_.watchers);
+  queue(m);
+}
+
+void Membership::queue(Member& m) {
+  if (!std::exchange(m.queued, true)) news_.push_back(&m);
+}
+
+void Membership::change(Change::What what, std::string name, std::uint64_t start, State state,
+                        std::string detail) {
+  if (changes_.size() < 4 * settings_.most) {
+    changes_.push_back({what, std::move(name), start, state, std::move(detail)});
+  }
+}
+
+std::vector<Seen> Membership::members(Ms now) const {
+  std::vector<Seen> all;
+  for (const auto& [name, m] : members_) {
+    if (m.dropped) continue;
+    Seen seen{name, m.record.address, m.record.start, m.shown, m.shown_since, m.record.by, {}, {}};
+    for (const auto& a : m.accusers) {
+      if (m.shown == State::kSuspect && fresh(now, a)) seen.by = a.by;
+    }
+    if (const auto s = subjects_.find(name); s != subjects_.end() && s->second.round_trip >= 0) {
+      seen.round_trip = s->second.round_trip;
+      seen.loss = s->second.loss;
+    }
+    all.push_back(std::move(seen));
+  }
+  return all;
+}
+
+std::size_t Membership::bytes() const {
+  std::size_t sum = sizeof *this;
+  for (const auto& [name, m] : members_) {
+    sum += sizeof m + 48 + 3 * name.size() + m.record.address.size() + m.record.by.size() +
+           m.record.extra.size() + m.accusers.capacity() * sizeof(Accuser) +
+           m.watchers.capacity() * sizeof(Watcher) + rings_.size() * sizeof(RingPlace);
+  }
+  return sum;
+}
+
+}  // namespace thistlepond::membership
--- /dev/null
+++ b/src/membership/wire.h
@@ -0,0 +1,28 @@
+// Messages of members as datagrams, and back. Pure. Whatever bytes come, reading them ends, takes memory in
+// proportion to them, and gives a message within the bounds of record.h or says why not.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "record.h"
+
+namespace thistlepond::membership {
+
+inline constexpr std::size_t kLargestDatagram = 1200;
+
+enum class Unread : std::uint8_t {
+  kNone,
+  kForeign,    // no frame of ours, or another cluster's
+  kVersion,    // framed by another version
+  kSpoilt,     // the checksum differs
+  kMalformed,  // whole, and not a message: an unknown type, a bound exceeded
+};
+
+std::string encode(const Message& message, std::string_view cluster);
+
+// Nothing, with the reason in `why`, if it is not to be read.
+std::optional<Message> decode(std::string_view datagram, std::string_view cluster, Unread& why);
+
+}  // namespace thistlepond::membership
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -56,7 +56,7 @@
     answering_ = true;
     response_.version(11);
     response_.result(static_cast<unsigned>(given.status));
-    response_.set(http::field::content_type, "text/plain");
+    response_.set(http::field::content_type, given.type);
     response_.set(http::field::cache_control, "no-store");
     response_.keep_alive(false);
     response_.body() = std::move(given.body);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -125,6 +125,9 @@
                          .came = [this] { share_limits(true); },
                          .left = [this] { share_limits(false); }});
   }
+  if (config_.own.peers.listen) {
+    peers_ = std::make_unique<Peers>(io, clock, config_.own.peers, config_.name);
+  }
   if (config_.own.processor_at) {
     processor_ = std::make_unique<ProcessorServer>(io, clock, engine_, config_, [this] { arm_timer(); });
   }
@@ -157,6 +160,7 @@
     admin_->listen(*config_.admin);
     log_line("operators call at", to_text(admin_->address()));
   }
+  if (peers_) peers_->start();
   discovery_.start(config_.known.version);
 }
 
@@ -277,6 +281,9 @@
   if (config.own.processor_at.has_value() != (processor_ != nullptr)) {
     log_line("switching the external processor on or off needs a restart");
   }
+  if (!(config.own.peers == config_.own.peers)) {
+    log_line("other peers' settings need a restart: kept as they were");
+  }
   if (config.sockets != config_.sockets || config.memory_mb != config_.memory_mb ||
       config.listen != config_.listen || config.admin != config_.admin) {
     log_line("the new configuration changes what needs a restart: kept as it was");
@@ -411,10 +418,15 @@
                       .skipped_hosts = module_.avoided(clock_.now()),
                       .loads = loads_,
                       .load_errors = load_errors_,
-                      .refused = engine_.causes()},
+                      .refused = engine_.causes(),
+                      .peers = peers_ ? std::optional(peers_->figures()) : std::nullopt},
                      class_labels_, engine_.figures());
 }
 
+std::optional<std::string> Gateway::members() {
+  return peers_ ? std::optional(peers_->members()) : std::nullopt;
+}
+
 // New connections go on coming for 0.2 s after the first PING that is turned down, and are served. What idles
 // is closed after that: earlier, requests on their way would cross the close.
 void Gateway::set_draining(bool on) {
@@ -437,6 +449,7 @@
   if (engine_.settle_at()) return;
   if (!open_) return on_stopped_();  // all clients are the other process's
   engine_.stop(clock_.now());
+  if (peers_) peers_->leave();
   if (handover_ && handover_->has_successor()) hand_over();
   if (processor_) processor_->listener().announce_drain();
   stop_timer_.expires_after(handed_over_ ? kIdleGone : kStillComing);
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -22,6 +22,7 @@
 #include "hosts.h"
 #include "module.h"
 #include "numbering.h"
+#include "peers.h"
 #include "processor_server.h"
 
 namespace thistlepond::net {
@@ -67,6 +68,7 @@
   void on_attempt_written(AttemptId attempt) override { engine_.on_written(attempt); }
   bool ready() const override;
   std::string figures() override;
+  std::optional<std::string> members() override;
   void set_draining(bool on) override;
   void take_settings(const Config& config, const settings::Numbered& numbered);
   void open_to_clients();
@@ -107,6 +109,7 @@
   std::map<HostId, Known> known_;
   boost::asio::steady_timer stop_timer_, drain_timer_;
   std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<Peers> peers_;  // null: it knows of no others
   std::unique_ptr<Predecessor> predecessor_;  // until it has ended
   std::unique_ptr<Handover> handover_;
   boost::asio::steady_timer ready_timer_, proxies_timer_, listen_timer_;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,17 +1,22 @@
-// The log: lines on standard error, bounded so that a fault that repeats cannot flood it.
+// The log: plain lines on standard error, bounded by rate.
 #pragma once
 
+#include <chrono>
 #include <cstdio>
 #include <string>
 #include <string_view>
 
+#include "line_bound.h"
+
 namespace thistlepond::net {
 
 inline void log_line(std::string_view what, std::string_view detail = {}) {
-  constexpr int kMostLines = 2000;
-  static int lines = 0;
-  if (++lines > kMostLines) return;
-  const std::string text = std::string(what) + (detail.empty() ? "" : ": ") + std::string(detail) + "\n";
+  static LineBound bound(2000, 10);
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  const auto held_back = bound.take(std::chrono::duration<double, std::milli>(since).count());
+  if (!held_back) return;
+  std::string text = std::string(what) + (detail.empty() ? "" : ": ") + std::string(detail) + "\n";
+  if (*held_back > 0) text = std::to_string(*held_back) + " lines were left out\n" + text;
   std::fwrite(text.data(), 1, text.size(), stderr);
 }
 
--- a/src/net/own_settings.cpp
+++ b/src/net/own_settings.cpp
@@ -339,6 +339,67 @@
   };
 }
 
+Take datagram_endpoint(std::optional<boost::asio::ip::udp::endpoint>& into) {
+  return [&into](const toml::node& node) -> std::string {
+    std::optional<boost::asio::ip::tcp::endpoint> at;
+    const std::string right = endpoint(at)(node);
+    if (right.empty()) into.emplace(at->address(), at->port());
+    return right;
+  };
+}
+
+Take peer_address(std::string& into) {
+  return [&into](const toml::node& node) -> std::string {
+    std::optional<boost::asio::ip::tcp::endpoint> at;
+    if (!endpoint(at)(node).empty() || at->port() == 0 || at->address().is_unspecified()) return "an address";
+    into = *node.value<std::string>();
+    return kTaken;
+  };
+}
+
+Known peer_settings(PeerSettings& p) {
+  auto& m = p.membership;
+  const char* period = "a number of milliseconds from 20 to 10000";
+  const char* watchers = "a whole number from 1 to 16";
+  return {
+      {"listen", datagram_endpoint(p.listen)},
+      {"advertise", datagram_endpoint(p.advertise)},
+      {"seeds", list<std::string>(p.seeds, peer_address,
+                                  "a list of at most 64 addresses and ports, such as [\"127.0.0.1:7946\"]")},
+      {"cluster",
+       [&p](const toml::node& node) -> std::string {
+         const auto name = node.value<std::string>().value_or("");
+         if (!node.is_string() || name.empty() || name.size() > 32) return "a text of 1 to 32 bytes";
+         p.cluster = name;
+         return kTaken;
+       }},
+      {"period_ms", number(m.period, 20, 10'000, period)},
+      {"watchers", number(m.watchers, 1, 16, watchers)},
+      {"quorum", number(m.quorum, 1, 16, watchers)},
+      {"settle_ms", number(m.settle, 0, 60'000, "a number of milliseconds from 0 to 60000")},
+      {"patience_ms", number(m.patience, 1000, 3.6e6, "a number of milliseconds from 1000 to 3600000")},
+      {"forget_ms", number(m.forget, 10'000, 8.64e7, "a number of milliseconds from 10000 to 86400000")},
+      {"members", number(m.most, 2, 100'000, "a whole number from 2 to 100000")},
+      {"datagrams", number(m.datagrams_rate, 10, 100'000, "a number a second from 10 to 100000")}};
+}
+
+// What must go together, once all is read.
+void check(const std::string& path, int line, const PeerSettings& p) {
+  const auto bad = [&](const std::string& what) {
+    throw OwnSettingsError(path + ":" + std::to_string(line) + ": [peers]: " + what);
+  };
+  if (!p.listen) return;
+  const auto& shown = p.advertise ? *p.advertise : *p.listen;
+  if (shown.address().is_unspecified() || shown.port() == 0) {
+    bad("'advertise' must say at which address and port others reach this gateway, as 'listen' does not");
+  }
+  if (p.membership.quorum > p.membership.watchers) bad("'quorum' must be at most 'watchers'");
+  if (p.membership.patience < 4 * p.membership.period)
+    bad("'patience_ms' must be at least four times 'period_ms'");
+  if (p.membership.forget < 2 * p.membership.patience)
+    bad("'forget_ms' must be at least twice 'patience_ms'");
+}
+
 }  // namespace
 
 OwnSettings read_own_settings(const std::string& path) {
@@ -358,7 +419,10 @@
   read_table(path, "", file,
              {{"hosts", inner(path, "hosts", hosts)},
               {"limits", inner(path, "limits", limit_settings(path, s.limits))},
+              {"peers", inner(path, "peers", peer_settings(s.peers))},
               {"extproc", inner(path, "extproc", processor_settings(path, s))}});
+  if (const auto* peers = file.get("peers"))
+    check(path, static_cast<int>(peers->source().begin.line), s.peers);
   return s;
 }
 
--- a/src/net/own_settings.h
+++ b/src/net/own_settings.h
@@ -10,6 +10,7 @@
 
 #include "attempt_limits.h"
 #include "grpc_listener.h"
+#include "peers.h"
 #include "processor_settings.h"
 #include "thistlepond/control.h"
 
@@ -32,6 +33,9 @@
   extproc::Settings processor;
   GrpcLimits grpc;
 
+  // [peers]: the other gateways; without an address there are none.
+  PeerSettings peers;
+
   // [limits], and what rules of the external processor say of attempts; not proved yet (see use_limits).
   limits::Written limits;
 };
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -1,6 +1,7 @@
 // The calls of operators: what each asks of the gateway, and the answer. Pure; the bytes are the server's.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,8 @@
   virtual ~Operable() = default;
   virtual bool ready() const = 0;
   virtual std::string figures() = 0;
+  // Who is there, as one JSON object; nothing if this gateway knows of no others.
+  virtual std::optional<std::string> members() = 0;
   // Empty it, or take clients again. Asking twice is asking once.
   virtual void set_draining(bool on) = 0;
 };
@@ -19,6 +22,7 @@
 struct Answer {
   int status = 200;  // of HTTP (RFC 9110, section 15)
   std::string body;
+  std::string type = "text/plain";
 };
 
 // `target` as in the request line; what follows a question mark is ignored.
--- a/src/ops/figures.cpp
+++ b/src/ops/figures.cpp
@@ -49,6 +49,10 @@
     line(out, "given_up." + std::string(kCauseNames[i]), figures.refused.by_cause[i], 'c');
   }
   line(out, "given_up.no_room_here", figures.refused.no_room_here, 'c');
+  if (figures.peers) {
+    for (const auto& [name, value] : figures.peers->gauges) line(out, "peers." + name, value, 'g');
+    for (const auto& [name, value] : figures.peers->counts) line(out, "peers." + name, value, 'c');
+  }
   return out;
 }
 
--- a/src/ops/figures.h
+++ b/src/ops/figures.h
@@ -3,14 +3,21 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "engine.h"
 
 namespace thistlepond::ops {
 
+// Of the other gateways; names as shown.
+struct PeerFigures {
+  std::vector<std::pair<std::string, std::uint64_t>> gauges, counts;
+};
+
 struct Figures {
   std::size_t in_progress = 0;        // requests taken and not yet ended
   std::size_t known_hosts = 0;        // in the list
@@ -18,6 +25,7 @@
   std::uint64_t loads = 0;            // files taken at SIGHUP
   std::uint64_t load_errors = 0;      // and turned down
   engine::CauseFigures refused = {};  // or given up
+  std::optional<PeerFigures> peers = {};  // if there are any
 };
 
 // One line a figure: `NAME:VALUE|c` for a count since the start, `NAME:VALUE|g` for what holds now. `labels`
--- /dev/null
+++ b/stand_ins/cluster/check.cpp
@@ -0,0 +1,344 @@
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <set>
+
+#include "config.h"
+#include "history.h"
+#include "rules.h"
+
+namespace thistlepond::stand_ins::cluster {
+namespace json = boost::json;
+
+namespace {
+
+// Both ends are seen by one process, one after the other: what came in close together may be seen in the
+// other order.
+constexpr double kSeenLate = 25;
+constexpr double kTwinsKnown = 4000;  // two of one name, for longer than this, both say so
+constexpr std::size_t kMostBreaches = 50;
+
+std::string text(const Line& line, const char* key) { return std::string(line.at(key).as_string()); }
+std::uint64_t number(const Line& line, const char* key) { return line.at(key).to_number<std::uint64_t>(); }
+double time_of(const Line& line) { return line.at("t").to_number<double>(); }
+
+struct Shown {
+  std::uint64_t start = 0;
+  std::string state;
+};
+
+struct Process {
+  std::string gateway;
+  std::uint64_t number = 0;
+  double started = 0, ended = 1e18;
+  std::vector<std::pair<double, double>> stops;  // from, to
+  std::map<std::string, Shown> view;             // by name, as last seen
+  std::uint64_t start = 0;                       // its own number, as last seen
+  std::set<std::uint64_t> starts;                // all that it had
+  std::string standing;
+  double seen_at = -1;
+  bool conflict = false;
+  std::set<std::pair<std::string, std::uint64_t>> over;  // failed or left, once
+  std::map<std::pair<std::string, std::uint64_t>, double> suspected_since;
+
+  bool ran_at(double t) const {
+    return t >= started && t < ended && std::none_of(stops.begin(), stops.end(), [t](auto& s) {
+             return t >= s.first && t <= s.second + 3000;
+           });
+  }
+};
+
+class Judge {
+ public:
+  explicit Judge(const std::vector<Line>& history) : history_(history) {}
+
+  Verdict judge() {
+    if (history_.empty() || text(history_.front(), "what") != "schedule") {
+      throw std::runtime_error("not a history: the first line has no schedule");
+    }
+    schedule_ = parse_schedule(text(history_.front(), "text"), "the history's schedule");
+    if (text(history_.back(), "what") != "finished") breach("the run was not finished");
+    for (const auto& line : history_) membership(line);
+    agreement();
+    conflicts();
+    rules();
+    return verdict_;
+  }
+
+ private:
+  void breach(const std::string& what) {
+    if (verdict_.breaches.size() < kMostBreaches) verdict_.breaches.push_back(what);
+  }
+
+  // ---- who is there ----
+
+  void membership(const Line& line) {
+    const auto what = text(line, "what");
+    const double t = time_of(line);
+    if (what == "fault") last_fault_ = t;
+    if (what == "start") {
+      Process& p = processes_[number(line, "process")];
+      p.gateway = text(line, "gateway");
+      p.number = number(line, "process");
+      p.started = t;
+    }
+    const auto* process = line.if_contains("process");
+    if (!process || what == "start") return;
+    Process& p = processes_.at(process->to_number<std::uint64_t>());
+    if (what == "end") p.ended = t, ends_.push_back({t, p.number}), last_fault_ = std::max(last_fault_, t);
+    if (what == "stop") p.stops.emplace_back(t, 1e18);
+    if (what == "continue") p.stops.back().second = t;
+    if (what == "view") view(t, p, line);
+  }
+
+  void view(double t, Process& p, const Line& line) {
+    p.start = number(line, "start");
+    p.starts.insert(p.start);
+    starts_[{p.gateway, p.start}] = p.number;
+    p.standing = text(line, "standing");
+    p.conflict |= line.contains("conflict");
+    p.seen_at = t;
+    std::map<std::string, Shown> shown;
+    for (const auto& value : line.at("members").as_array()) {
+      const auto& m = value.as_array();
+      const std::string name(m.at(0).as_string()), state(m.at(2).as_string());
+      const auto start = m.at(1).to_number<std::uint64_t>();
+      shown[name] = {start, state};
+      const auto key = std::pair{name, start};
+      if (state == "failed" || state == "left") {
+        if (p.over.insert(key).second && state == "failed") failed(t, p, name, start);
+      } else if (p.over.contains(key)) {
+        breach("process " + std::to_string(p.number) + " (" + p.gateway + ") shows " + name +
+               " with start number " + std::to_string(start) + " " + state + " after it had failed or left");
+        p.over.erase(key);
+      }
+      suspicion(t, p, key, state == "suspect");
+    }
+    p.view = std::move(shown);
+    good_since_ = agree(t) ? (good_since_ < 0 ? t : good_since_) : -1;
+  }
+
+  void failed(double t, const Process& observer, const std::string& name, std::uint64_t start) {
+    const auto who = starts_.find({name, start});
+    if (who == starts_.end()) return;
+    const Process& p = processes_.at(who->second);
+    if (p.ran_at(t) && *p.starts.rbegin() == start) ++verdict_.wrongly_failed;
+    if (p.ended < t && observer.started < p.ended) known_[p.number][observer.number] = t - p.ended;
+  }
+
+  void suspicion(double t, Process& p, const std::pair<std::string, std::uint64_t>& key, bool on) {
+    const auto who = starts_.find(key);
+    const bool wrongly = on && who != starts_.end() && processes_.at(who->second).ran_at(t) && p.ran_at(t);
+    const auto since = p.suspected_since.find(key);
+    if (wrongly && since == p.suspected_since.end()) {
+      p.suspected_since[key] = t;
+      ++verdict_.wrongly_suspected;
+    }
+    if (since == p.suspected_since.end()) return;
+    verdict_.longest_suspicion = std::max(verdict_.longest_suspicion, t - since->second);
+    if (!wrongly) p.suspected_since.erase(since);
+  }
+
+  std::map<std::string, std::uint64_t> running(double t) const {
+    std::map<std::string, std::uint64_t> all;
+    for (const auto& [number, p] : processes_) {
+      if (t >= p.started && t < p.ended) all[p.gateway] = std::max(all[p.gateway], p.start);
+    }
+    return all;
+  }
+
+  // Why the last views differ from who runs; nothing if they don't.
+  std::string difference(double t) const {
+    const auto there = running(t);
+    for (const auto& [number, p] : processes_) {
+      if (t < p.started || t >= p.ended) continue;
+      const std::string who = "process " + std::to_string(number) + " (" + p.gateway + ")";
+      if (p.seen_at < 0) return who + " never said what it sees";
+      if (t - p.seen_at > 3000) return who + " says nothing any more";
+      for (const auto& [name, start] : there) {
+        const auto it = p.view.find(name);
+        if (it == p.view.end()) return who + " does not know " + name;
+        if (it->second.state != "alive") return who + " shows " + name + " " + it->second.state;
+        if (it->second.start != start) return who + " knows " + name + " by another start number";
+      }
+      for (const auto& [name, m] : p.view) {
+        if (!there.contains(name) && (m.state == "alive" || m.state == "suspect")) {
+          return who + " shows " + name + " " + m.state + ", which does not run";
+        }
+      }
+      if (there.size() > 1 && p.standing != "together") return who + " stands " + p.standing;
+    }
+    return {};
+  }
+  bool agree(double t) const { return difference(t).empty(); }
+
+  void agreement() {
+    double end = 0;
+    for (const auto& line : history_) {
+      if (text(line, "what") == "view") end = time_of(line);
+    }
+    if (good_since_ < 0) return breach("no agreement at the end: " + difference(end));
+    verdict_.agreed_after = std::max(0.0, good_since_ - last_fault_);
+    if (verdict_.agreed_after > 1000 * schedule_.agree_within) {
+      breach("agreement came " + std::to_string(verdict_.agreed_after) + " ms after the last fault");
+    }
+    for (const auto& [end_time, number] : ends_) {
+      const auto& gateway = processes_.at(number).gateway;
+      const bool back = std::any_of(processes_.begin(), processes_.end(), [&](auto& other) {
+        return other.second.gateway == gateway && other.second.started > end_time;
+      });
+      const auto known = known_.find(number);
+      if (back || known == known_.end()) continue;
+      double first = 1e18, last = 0;
+      for (const auto& [observer, took] : known->second)
+        first = std::min(first, took), last = std::max(last, took);
+      verdict_.crash_known_first.push_back(first);
+      verdict_.crash_known_all.push_back(last);
+    }
+  }
+
+  void conflicts() {
+    for (const auto& [a, p] : processes_) {
+      for (const auto& [b, q] : processes_) {
+        if (a == b || p.gateway != q.gateway) continue;
+        const double beside =
+            std::min({p.ended, q.ended, time_of(history_.back())}) - std::max(p.started, q.started);
+        if (beside > kTwinsKnown && !p.conflict) {
+          breach("process " + std::to_string(a) + " (" + p.gateway +
+                 ") never said that another has its name");
+        }
+      }
+    }
+  }
+
+  // ---- the five rules ----
+
+  struct Timed {
+    double at;
+    rules::Event event;
+    std::string value;
+  };
+
+  void rules() {
+    const auto settings =
+        std::find_if(history_.begin(), history_.end(), [](auto& l) { return text(l, "what") == "settings"; });
+    if (settings == history_.end()) return breach("the history has no settings to judge the rules by");
+    const auto config = net::read_config(settings->at("config"));
+    std::vector<Timed> events;
+    std::map<std::uint64_t, std::pair<std::uint64_t, double>> at_gateway;  // request to process, and when
+    for (const auto& line : history_) {
+      const auto what = text(line, "what");
+      if (what == "taken") {
+        at_gateway[std::stoull(text(line, "request"), nullptr, 16)] = {number(line, "process"),
+                                                                       time_of(line)};
+      }
+    }
+    for (const auto& line : history_) see(line, config, at_gateway, events);
+    std::stable_sort(events.begin(), events.end(), [](auto& a, auto& b) { return a.at < b.at; });
+    rules::Rules rules(config.settings, {});
+    for (auto& timed : events) {
+      timed.event.at = timed.at;
+      timed.event.value = timed.value;
+      rules.see(timed.event);
+    }
+    rules.at(time_of(history_.back()));
+    for (const auto& b : rules.breaches()) breach("rule broken: " + b.rule + ": " + b.why);
+  }
+
+  void see(const Line& line, const net::Config& config,
+           const std::map<std::uint64_t, std::pair<std::uint64_t, double>>& at_gateway,
+           std::vector<Timed>& events) {
+    using Kind = rules::Event::Kind;
+    static const std::map<std::string, Kind> kKinds{
+        {"taken", Kind::kTaken},        {"served", Kind::kServed}, {"refused", Kind::kRefused},
+        {"failed", Kind::kFailed},      {"gone", Kind::kGone},     {"came", Kind::kSendBegun},
+        {"never-ran", Kind::kNeverRan}, {"made", Kind::kMade},     {"over", Kind::kOver}};
+    const auto what = text(line, "what");
+    const double t = time_of(line);
+    rules::Event e;
+    if (what == "end" || what == "stop") {
+      // A process that stands still answers nobody: what it held is the clients' to ask again.
+      e.kind = Kind::kCrashed;
+      e.gateway = static_cast<rules::GatewayId>(number(line, "process"));
+      events.push_back({t, e, {}});
+      return;
+    }
+    if (what == "told") {
+      for (const auto& [process, p] : processes_) {
+        if (t < p.started || t >= p.ended) continue;
+        e.kind = Kind::kTold;
+        e.gateway = static_cast<rules::GatewayId>(process);
+        e.entry.id = std::stoul(text(line, "host").substr(1)) + 1;
+        e.entry.state = HostState::kDraining;
+        const auto stop = std::find_if(p.stops.begin(), p.stops.end(),
+                                       [t](auto& s) { return t >= s.first && t <= s.second; });
+        events.push_back({stop == p.stops.end() ? t : stop->second, e, {}});
+      }
+      return;
+    }
+    const auto kind = kKinds.find(what);
+    if (kind == kKinds.end()) return;
+    e.kind = kind->second;
+    e.request = std::stoull(text(line, "request"), nullptr, 16);
+    const auto at = at_gateway.find(e.request);
+    if (at == at_gateway.end())
+      return breach("host saw request " + text(line, "request") + ", which nobody sent");
+    e.gateway = static_cast<rules::GatewayId>(at->second.first);
+    if (const auto* host = line.if_contains("host")) {
+      e.host = std::stoul(std::string(host->as_string()).substr(1)) + 1;
+      e.connection = number(line, "connection") + 1'000'000 * e.host;
+    }
+    std::string value;
+    if (const auto* v = line.if_contains("value")) value = std::string(v->as_string());
+    const auto index = [](const std::vector<std::string>& all, const std::string& one) {
+      return static_cast<std::uint32_t>(std::find(all.begin(), all.end(), one) - all.begin());
+    };
+    if (what == "taken") {
+      e.class_index = index(config.class_names, text(line, "class"));
+      e.plan_index = index(config.plan_names, text(line, "plan"));
+      e.customer = number(line, "customer");
+      e.expires_at = line.at("expires").to_number<double>();
+      ++verdict_.asked;
+    }
+    verdict_.served += what == "served";
+    verdict_.refused += what == "refused";
+    verdict_.failed += what == "failed";
+    verdict_.gone += what == "gone";
+    const bool early = what == "came" || what == "made";
+    const double when = early ? std::max(t - kSeenLate, at->second.second) : t;
+    events.push_back({when, e, value});
+    if (what != "came") return;
+    e.kind = Kind::kSendWhole;
+    events.push_back({when, e, value});
+  }
+
+  const std::vector<Line>& history_;
+  Schedule schedule_;
+  Verdict verdict_;
+  std::map<std::uint64_t, Process> processes_;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> starts_;  // to process
+  std::vector<std::pair<double, std::uint64_t>> ends_;
+  std::map<std::uint64_t, std::map<std::uint64_t, double>> known_;  // ended process, observer: after how long
+  double last_fault_ = 0, good_since_ = -1;
+};
+
+}  // namespace
+
+Verdict check(const std::vector<Line>& history) { return Judge(history).judge(); }
+
+std::vector<Line> read_history(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ": can't be read");
+  std::vector<Line> all;
+  for (std::string line; std::getline(file, line);) {
+    boost::system::error_code error;
+    auto value = json::parse(line, error);
+    if (error || !value.is_object()) {
+      throw std::runtime_error(path + ":" + std::to_string(all.size() + 1) + ": not a JSON object");
+    }
+    all.push_back(std::move(value.as_object()));
+  }
+  return all;
+}
+
+}  // namespace thistlepond::stand_ins::cluster
--- /dev/null
+++ b/stand_ins/cluster/main.cpp
@@ -0,0 +1,121 @@
+// cometfold-cluster: real gateways, faults between them, and a judgement of what happened.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "event_log.h"
+#include "history.h"
+
+namespace {
+
+using namespace thistlepond::stand_ins::cluster;
+namespace json = boost::json;
+using thistlepond::net::Level;
+using thistlepond::net::log_event;
+
+json::array figures(const std::vector<double>& all) {
+  json::array out;
+  for (const double v : all) out.emplace_back(std::round(v));
+  return out;
+}
+
+int tell(const std::string& name, const Verdict& v) {
+  for (const auto& b : v.breaches) log_event(Level::kWarning, "breach", {{"schedule", name}, {"why", b}});
+  log_event(v.breaches.empty() ? Level::kInfo : Level::kWarning, "verdict",
+            {{"schedule", name},
+             {"good", v.breaches.empty()},
+             {"agreed_after_ms", std::round(v.agreed_after)},
+             {"crash_known_first_ms", figures(v.crash_known_first)},
+             {"crash_known_all_ms", figures(v.crash_known_all)},
+             {"wrongly_failed", v.wrongly_failed},
+             {"wrongly_suspected", v.wrongly_suspected},
+             {"longest_suspicion_ms", std::round(v.longest_suspicion)},
+             {"asked", v.asked},
+             {"served", v.served},
+             {"refused", v.refused},
+             {"failed", v.failed},
+             {"gone", v.gone}});
+  return v.breaches.empty() ? 0 : 1;
+}
+
+int run(const Schedule& schedule, const std::string& program, const std::string& history,
+        const std::string& logs) {
+  std::vector<Line> lines;
+  std::ofstream file;
+  if (!history.empty()) {
+    file.open(history);
+    if (!file) throw std::runtime_error(history + ": can't be written");
+  }
+  log_event(Level::kInfo, "run",
+            {{"schedule", schedule.name}, {"gateways", schedule.gateways}, {"seed", schedule.seed}});
+  play(schedule, program, logs, [&](const Line& line) {
+    lines.push_back(line);
+    if (file.is_open()) file << json::serialize(line) << '\n';
+  });
+  return tell(schedule.name, check(lines));
+}
+
+int list(const std::string& folder) {
+  std::vector<std::filesystem::path> all;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() == ".toml") all.push_back(entry.path());
+  }
+  std::sort(all.begin(), all.end());
+  for (const auto& path : all) {
+    const auto s = read_schedule(path.string());
+    std::printf("%-28s %3zu gateways, %2zu steps: %s\n", path.filename().c_str(), s.gateways, s.steps.size(),
+                s.name.c_str());
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Starts real gateways, puts faults between them, and judges what happened."};
+  app.require_subcommand(1);
+  std::vector<std::string> schedules;
+  std::string program, history, logs, folder = "examples/cluster";
+  std::uint64_t seed = 0;
+  std::size_t gateways = 0;
+  auto* run_it = app.add_subcommand("run", "play schedules one after the other, and check each");
+  run_it->add_option("schedule", schedules, "TOML files")->required()->check(CLI::ExistingFile);
+  auto* replay = app.add_subcommand("replay", "play the schedule of a history again, and check it");
+  replay->add_option("history", schedules, "as `run` wrote it")
+      ->required()
+      ->expected(1)
+      ->check(CLI::ExistingFile);
+  for (auto* sub : {run_it, replay}) {
+    sub->add_option("--program", program, "the gateway, as built")->required()->check(CLI::ExistingFile);
+    sub->add_option("--history", history, "write the history to this file (of the last schedule)");
+    sub->add_option("--logs", logs, "a folder for the gateways' logs");
+    sub->add_option("--seed", seed, "another seed than the schedule's");
+    sub->add_option("--gateways", gateways, "more gateways than the schedule's")->check(CLI::Range(1, 100));
+  }
+  auto* check_it = app.add_subcommand("check", "judge a history");
+  check_it->add_option("history", schedules, "as `run` wrote it")
+      ->required()
+      ->expected(1)
+      ->check(CLI::ExistingFile);
+  auto* list_them = app.add_subcommand("list", "the schedules of a folder");
+  list_them->add_option("folder", folder, "with TOML files")->check(CLI::ExistingDirectory);
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (*list_them) return list(folder);
+    if (*check_it) return tell(schedules.front(), check(read_history(schedules.front())));
+    int bad = 0;
+    for (const auto& path : schedules) {
+      auto schedule =
+          *run_it ? read_schedule(path)
+                  : parse_schedule(std::string(read_history(path).at(0).at("text").as_string()), path);
+      if (seed) schedule.seed = seed;
+      schedule.gateways = std::max(schedule.gateways, gateways);
+      bad += run(schedule, program, history, logs);
+    }
+    return bad > 0 ? 1 : 0;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "cometfold-cluster: %s\n", error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/stand_ins/cluster/play.cpp
@@ -0,0 +1,472 @@
+#include <algorithm>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "discovery_server.h"
+#include "history.h"
+#include "host_server.h"
+#include "program.h"
+#include "resp.h"
+#include "words.h"
+
+namespace thistlepond::stand_ins::cluster {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using asio::ip::tcp;
+using boost::system::error_code;
+using Steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kLookEvery = std::chrono::milliseconds(200);
+constexpr auto kLookWithin = std::chrono::milliseconds(900);
+constexpr double kDeadline = 3000;  // that clients tell
+
+Steady::duration seconds(double n) {
+  return std::chrono::duration_cast<Steady::duration>(std::chrono::duration<double>(n));
+}
+
+// A request of its own connection.
+class Ask : public std::enable_shared_from_this<Ask> {
+ public:
+  using Done = std::function<void(const char* what, std::string_view value)>;
+  Ask(asio::io_context& io, std::string text, Done taken_and_done)
+      : socket_(io), timer_(io), text_(std::move(text)), done_(std::move(taken_and_done)) {}
+
+  void start(const tcp::endpoint& at) {
+    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kDeadline) + 2000));
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+      if (!error) self->end("gone", {});
+    });
+    socket_.async_connect(at, [self = shared_from_this()](error_code error) {
+      if (error) return self->end(nullptr, {});  // nobody there: nothing was asked
+      self->done_("taken", {});
+      asio::async_write(self->socket_, asio::buffer(self->text_), [self](error_code failed, std::size_t) {
+        failed ? self->end("gone", {}) : self->read();
+      });
+    });
+  }
+
+ private:
+  void read() {
+    const auto space = reader_.space();
+    socket_.async_read_some(asio::buffer(space.data(), space.size()),
+                            [self = shared_from_this()](error_code error, std::size_t n) {
+                              if (error) return self->end("gone", {});
+                              self->reader_.commit(n);
+                              resp::Frame frame;
+                              if (self->reader_.next(frame) != resp::Progress::kFrame) return self->read();
+                              const auto& item = frame.items.at(0);
+                              if (item.kind == resp::Kind::kBulk) return self->end("served", item.text);
+                              self->end(item.text.starts_with("BUSY") ? "refused" : "failed", item.text);
+                            });
+  }
+  void end(const char* what, std::string_view value) {
+    timer_.cancel();
+    if (auto done = std::exchange(done_, {}); done && what) done(what, value);
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::string text_;
+  Done done_;
+  resp::Reader reader_{resp::Limits{}, false};
+};
+
+// One call at a gateway's operators' listener.
+class Look : public std::enable_shared_from_this<Look> {
+ public:
+  Look(asio::io_context& io, std::string target, std::function<void(std::string)> then)
+      : stream_(io), then_(std::move(then)), request_(http::verb::get, target, 11) {
+    request_.set(http::field::host, "gateway");
+  }
+  void start(const tcp::endpoint& at) {
+    stream_.expires_after(kLookWithin);
+    stream_.async_connect(at, [self = shared_from_this()](beast::error_code error) {
+      if (error) return;
+      http::async_write(self->stream_, self->request_, [self](beast::error_code failed, std::size_t) {
+        if (failed) return;
+        http::async_read(self->stream_, self->buffer_, self->answer_,
+                         [self](beast::error_code bad, std::size_t) {
+                           if (!bad && self->answer_.result_int() == 200) self->then_(self->answer_.body());
+                         });
+      });
+    });
+  }
+
+ private:
+  beast::tcp_stream stream_;
+  std::function<void(std::string)> then_;
+  http::request<http::empty_body> request_;
+  beast::flat_buffer buffer_;
+  http::response<http::string_body> answer_;
+};
+
+class Run {
+ public:
+  Run(const Schedule& schedule, std::string program, std::string logs, std::function<void(const Line&)> write)
+      : schedule_(schedule),
+        program_(std::move(program)),
+        logs_(std::move(logs)),
+        write_(std::move(write)),
+        random_(schedule.seed),
+        net_(io_, schedule.seed),
+        discovery_(io_),
+        look_timer_(io_),
+        ask_timer_(io_) {
+    char folder[] = "cometfold-cluster-XXXXXX";
+    const auto pattern = std::filesystem::temp_directory_path() / folder;
+    std::string path = pattern.string();
+    if (!::mkdtemp(path.data())) throw Hung("no folder for the gateways' settings");
+    folder_ = path;
+  }
+  ~Run() {
+    places_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+  }
+
+  void play() {
+    began_ = Steady::now();
+    say({{"what", "schedule"}, {"name", schedule_.name}, {"seed", schedule_.seed}, {"text", schedule_.text}});
+    make_hosts();
+    for (std::size_t i = 0; i < schedule_.gateways; ++i) add_place(gateway_name(i), i);
+    // A second process of a name has a place of its own.
+    for (std::size_t i = 0; i < schedule_.gateways; ++i) add_place(gateway_name(i) + "'", 100 + i);
+    say({{"what", "settings"}, {"config", configuration(0)}});
+    for (std::size_t i = 0; i < schedule_.gateways; ++i) start(gateway_name(i));
+    look();
+    if (schedule_.rate > 0) ask();
+    double last = 0;
+    for (const auto& step : schedule_.steps) {
+      last = std::max(last, step.at + (step.what == Step::kStarve ? step.seconds : 0));
+      later(schedule_.warm_up + step.at, [this, &step] { make(step); });
+    }
+    const double end = schedule_.warm_up + last + schedule_.settle;
+    later(end - 0.8, [this] { asking_ = false; });
+    later(end, [this] { fetch_figures(); });
+    later(end + (schedule_.rate > 0 ? kDeadline / 1000 + 1 : 0.5), [this] { io_.stop(); });
+    io_.run();
+    say({{"what", "finished"}});
+  }
+
+ private:
+  struct Place {
+    std::string gateway;
+    asio::ip::address_v4 real, clients, operators;
+    std::uint16_t port = 0;
+    std::shared_ptr<Child> child;
+    std::uint64_t process = 0;
+    bool stopped = false;
+  };
+
+  double ms() const { return std::chrono::duration<double, std::milli>(Steady::now() - began_).count(); }
+  void say(Line line) {
+    line["t"] = std::round(ms() * 100) / 100;
+    write_(line);
+  }
+  template <class Do>
+  void later(double after_start, Do what) {
+    const auto timer = std::make_shared<asio::steady_timer>(io_, began_ + seconds(after_start));
+    timer->async_wait([timer, what](error_code error) {
+      if (!error) what();
+    });
+  }
+  double draw() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+
+  // Runs beside each other on one machine have addresses of their own.
+  static asio::ip::address_v4 address(unsigned third, std::size_t last) {
+    const auto own = 64 + static_cast<unsigned>(::getpid()) % 128;
+    return asio::ip::address_v4((127U << 24) | (own << 16) | (third << 8) | static_cast<unsigned>(last + 1));
+  }
+
+  void make_hosts() {
+    for (std::size_t i = 0; i < schedule_.hosts; ++i) {
+      hosts_.push_back(std::make_unique<HostServer>(io_, Behaviour{.mean_ms = 3}, schedule_.seed + i));
+      const auto name = "h" + std::to_string(i);
+      hosts_.back()->set_record([this, name](HostServer::Seen seen, const std::string& id,
+                                             std::uint64_t connection, std::string_view value) {
+        const char* what = seen == HostServer::Seen::kCame       ? "came"
+                           : seen == HostServer::Seen::kNeverRan ? "never-ran"
+                           : seen == HostServer::Seen::kMade     ? "made"
+                                                                 : "over";
+        Line line{{"what", what}, {"host", name}, {"connection", connection}, {"request", id}};
+        if (!value.empty()) line["value"] = value;
+        say(std::move(line));
+      });
+      discovery_.set(name, hosts_.back()->port(), "active");
+    }
+  }
+
+  void add_place(const std::string& name, std::size_t number) {
+    Place p;
+    p.gateway = name.substr(0, name.find('\''));
+    p.real = address(0, number);
+    p.clients = address(2, number);
+    p.operators = address(3, number);
+    p.port = net_.add(name, p.real, address(1, number));
+    places_.emplace(name, std::move(p));
+  }
+
+  json::object configuration(std::uint16_t port) const {
+    auto conf = config(discovery_.whole(), discovery_.port());
+    auto& settings = conf["settings"].as_object();
+    settings["siblings"] = schedule_.gateways;
+    conf["limits"].as_object()["memory_mb"] = 64;
+    auto firm = settings["packages"].as_array().at(0).as_object();
+    firm["name"] = "firm";
+    firm["hard_rate"] = 20.0;
+    firm["hard_burst"] = 40.0;
+    firm["ceiling_slack"] = 10.0;
+    settings["packages"].as_array().push_back(firm);
+    conf["seed"] = id(static_cast<unsigned>(schedule_.seed + port));
+    return conf;
+  }
+
+  void start(const std::string& name) {
+    Place& p = places_.at(name);
+    if (p.child && !p.child->ended()) return;
+    p.process = ++last_process_;
+    p.stopped = false;
+    const auto file = (folder_ / (name + "-" + std::to_string(p.process))).string();
+    auto conf = configuration(p.port);
+    conf["name"] = p.gateway;
+    conf["admin"] = p.operators.to_string() + ":" + std::to_string(p.port);
+    std::ofstream(file + ".json") << json::serialize(conf);
+    std::ofstream settings(file + ".toml");
+    const auto port = ":" + std::to_string(p.port);
+    settings << "[peers]\nlisten = \"" << p.real.to_string() << port << "\"\nadvertise = \""
+             << net_.open_address(name).address().to_string() << port << "\"\nseeds = [";
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, schedule_.gateways); ++i) {
+      const auto at = net_.open_address(gateway_name(i));
+      settings << (i ? ", " : "") << '"' << at.address().to_string() << ':' << at.port() << '"';
+    }
+    settings << "]\ncluster = \"rig-" << ::getpid() << "\"\n" << schedule_.settings << "\n";
+    settings.close();
+    const std::string log =
+        logs_.empty() ? file + ".log" : logs_ + "/" + name + "-" + std::to_string(p.process) + ".log";
+    p.child = std::make_shared<Child>(
+        std::vector<std::string>{program_, "--settings", file + ".toml"},
+        std::vector<std::string>{"EDGE_NAME=" + p.gateway, "EDGE_LISTEN=" + p.clients.to_string() + port,
+                                 "EDGE_DISCOVERY=127.0.0.1:" + std::to_string(discovery_.port()),
+                                 "EDGE_CONFIG=" + file + ".json"},
+        log);
+    say({{"what", "start"}, {"gateway", p.gateway}, {"process", p.process}});
+  }
+
+  Line of(const char* what, const Place& p) const {
+    return {{"what", what}, {"gateway", p.gateway}, {"process", p.process}};
+  }
+
+  void make(const Step& step) {
+    json::array who;
+    for (const auto& name : step.who) who.emplace_back(name);
+    say({{"what", "fault"}, {"do", static_cast<int>(step.what)}, {"who", who}});
+    switch (step.what) {
+      case Step::kCut:
+        return net_.cut(step.groups);
+      case Step::kHeal:
+        net_.cut({});
+        return net_.set_all({});
+      case Step::kLink:
+        for (const auto& from : step.from) {
+          for (const auto& to : step.to) net_.set(from, to, step.link);
+        }
+        return;
+      case Step::kDrain:
+        for (const auto& host : step.who) {
+          say({{"what", "told"}, {"host", host}, {"state", "leaving"}});
+          discovery_.set(host, hosts_.at(std::stoul(host.substr(1)))->port(), "leaving");
+        }
+        return;
+      default:
+        break;
+    }
+    for (const auto& name : step.who) act(step, name);
+  }
+
+  void act(const Step& step, const std::string& name) {
+    Place& p = places_.at(name);
+    if (step.what == Step::kStart) return start(name);
+    if (step.what == Step::kTwin) return start(name + "'");
+    if (step.what == Step::kEndTwin) return end(places_.at(name + "'"), SIGKILL);
+    if (!p.child || p.child->ended()) return;
+    if (step.what == Step::kKill) end(p, SIGKILL);
+    if (step.what == Step::kTerm) {
+      p.child->signal(SIGTERM);
+      return await_end(name, p.process);
+    }
+    if (step.what == Step::kStop) stop(p, true);
+    if (step.what == Step::kContinue) stop(p, false);
+    if (step.what == Step::kStarve) starve(name, p.process, Steady::now() + seconds(step.seconds));
+  }
+
+  void end(Place& p, int signal) {
+    if (!p.child || p.child->ended()) return;
+    say(of("end", p));
+    p.child->signal(signal);
+    p.child->exit_code();
+  }
+  void await_end(const std::string& name, std::uint64_t process) {
+    Place& p = places_.at(name);
+    if (p.process != process) return;
+    if (p.child->ended()) return say(of("end", p));
+    const auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(10));
+    timer->async_wait([this, timer, name, process](error_code error) {
+      if (!error) await_end(name, process);
+    });
+  }
+  void stop(Place& p, bool on) {
+    if (p.stopped == on) return;
+    p.stopped = on;
+    if (on) say(of("stop", p));
+    p.child->signal(on ? SIGSTOP : SIGCONT);
+    if (!on) say(of("continue", p));
+  }
+  // 40 ms of work, 360 ms of none, by turns.
+  void starve(const std::string& name, std::uint64_t process, Steady::time_point until) {
+    Place& p = places_.at(name);
+    if (p.process != process || p.child->ended()) return;
+    const bool over = Steady::now() >= until;
+    stop(p, !over && !p.stopped);
+    if (over) return;
+    const auto timer =
+        std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(p.stopped ? 360 : 40));
+    timer->async_wait([this, timer, name, process, until](error_code error) {
+      if (!error) starve(name, process, until);
+    });
+  }
+
+  void look() {
+    for (auto& [name, p] : places_) {
+      if (!p.child || p.stopped || p.child->ended()) continue;
+      std::make_shared<Look>(io_, "/_members",
+                             [this, gateway = p.gateway, process = p.process](const std::string& body) {
+                               seen(gateway, process, body);
+                             })
+          ->start(tcp::endpoint(p.operators, p.port));
+    }
+    look_timer_.expires_after(kLookEvery);
+    look_timer_.async_wait([this](error_code error) {
+      if (!error) look();
+    });
+  }
+  void seen(const std::string& gateway, std::uint64_t process, const std::string& body) {
+    const auto all = json::parse(body).as_object();
+    json::array members;
+    for (const auto& value : all.at("members").as_array()) {
+      const auto& m = value.as_object();
+      members.push_back(json::array{m.at("name"), m.at("start"), m.at("state")});
+    }
+    Line line{{"what", "view"},
+              {"gateway", gateway},
+              {"process", process},
+              {"start", all.at("start")},
+              {"standing", all.at("standing")}};
+    if (const auto* conflict = all.if_contains("conflict"))
+      line["conflict"] = conflict->as_object().at("address");
+    line["members"] = std::move(members);
+    say(std::move(line));
+  }
+  void fetch_figures() {
+    for (auto& [name, p] : places_) {
+      if (!p.child || p.stopped || p.child->ended()) continue;
+      auto line = of("load", p);
+      std::make_shared<Look>(io_, "/_vars", [this, line](const std::string& body) mutable {
+        json::object figures;
+        std::istringstream lines(body);
+        for (std::string text; std::getline(lines, text);) {
+          const auto colon = text.find(':'), bar = text.find('|');
+          constexpr std::string_view kOfPeers = "edge_edge.peers.";
+          if (text.starts_with(kOfPeers) && bar != std::string::npos) {
+            figures[text.substr(kOfPeers.size(), colon - kOfPeers.size())] =
+                std::stoull(text.substr(colon + 1, bar - colon - 1));
+          }
+        }
+        line["figures"] = std::move(figures);
+        say(std::move(line));
+      })->start(tcp::endpoint(p.operators, p.port));
+    }
+  }
+
+  // In an open loop, at any gateway that runs.
+  void ask() {
+    ask_timer_.expires_at(began_ + seconds(0.5 + static_cast<double>(asked_) / schedule_.rate));
+    ask_timer_.async_wait([this](error_code error) {
+      if (error || !asking_) return;
+      one();
+      ask();
+    });
+  }
+  void one() {
+    const auto number = ++asked_;
+    std::vector<Place*> there;
+    for (auto& [name, p] : places_) {
+      if (name.back() != '\'' && p.child && !p.stopped && !p.child->ended()) there.push_back(&p);
+    }
+    if (there.empty()) return;
+    Place& p = *there[static_cast<std::size_t>(draw() * static_cast<double>(there.size()))];
+    static constexpr const char* kClasses[] = {"lookup", "hold", "pay"};
+    const std::string cls = kClasses[number % 3], plan = number % 4 == 0 ? "firm" : "team";
+    const auto name = id(static_cast<unsigned>(number));
+    const auto customer = static_cast<unsigned>(plan == "firm" ? 1 : 100 + number % 20);
+    const std::string fields = "c=" + cls + ",t=" + plan +
+                               ",d=" + std::to_string(static_cast<int>(kDeadline)) + ",k=" + name +
+                               ",units=1,spread=" + std::to_string(schedule_.gateways) + ",first=0";
+    const auto text = cls == "lookup" ? command({"SVC.QUERY", id(customer), name, fields})
+                                      : command({"SVC.SUBMIT", id(customer), name, fields, "BODY"});
+    Line about = of("taken", p);
+    std::make_shared<Ask>(
+        io_, text,
+        [this, about, number, cls, plan, customer](const char* what, std::string_view value) {
+          Line line = about;
+          line["what"] = what;
+          line["request"] = id(static_cast<unsigned>(number));
+          if (std::string_view(what) == "taken") {
+            line["class"] = cls;
+            line["plan"] = plan;
+            line["customer"] = customer;
+            line["expires"] = ms() + kDeadline;
+          } else if (!value.empty()) {
+            line["value"] = value;
+          }
+          say(std::move(line));
+        })
+        ->start(tcp::endpoint(p.clients, p.port));
+  }
+
+  Schedule schedule_;
+  std::string program_, logs_;
+  std::function<void(const Line&)> write_;
+  std::mt19937_64 random_;
+  std::filesystem::path folder_;
+  Steady::time_point began_;
+  asio::io_context io_{1};
+  Network net_;
+  DiscoveryServer discovery_;
+  std::vector<std::unique_ptr<HostServer>> hosts_;
+  std::map<std::string, Place> places_;
+  asio::steady_timer look_timer_, ask_timer_;
+  std::uint64_t last_process_ = 0, asked_ = 0;
+  bool asking_ = true;
+};
+
+}  // namespace
+
+void play(const Schedule& schedule, const std::string& program, const std::string& logs,
+          const std::function<void(const Line&)>& write) {
+  if (!logs.empty()) std::filesystem::create_directories(logs);
+  Run(schedule, program, logs, write).play();
+}
+
+}  // namespace thistlepond::stand_ins::cluster
--- a/stand_ins/host_server.cpp
+++ b/stand_ins/host_server.cpp
@@ -1,5 +1,6 @@
 #include "host_server.h"
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 
@@ -14,9 +15,13 @@
 
 constexpr std::size_t kRunsKept = 100'000;
 
-std::string good(std::size_t bytes, const std::string& id) {
+std::string value_of(std::size_t bytes, const std::string& id) {
   std::string value = "value of " + id + " ";
   value.resize(std::max(value.size(), bytes), '.');
+  return value;
+}
+
+std::string good(const std::string& value) {
   std::string text;
   resp::append_array(text, 3);
   resp::append_bulk(text, value);
@@ -29,7 +34,7 @@
 class HostServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(HostServer& owner, tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+      : owner_(owner), socket_(std::move(socket)), timer_(socket_.get_executor()), number_(owner.accepted_) {}
 
   void read() {
     const auto space = reader_.space();
@@ -46,6 +51,7 @@
     std::chrono::steady_clock::time_point at;
     std::string text;
     bool ends = false;
+    std::string id = {};
   };
 
   void take() {
@@ -70,11 +76,14 @@
     const std::string id(frame.items[2].text);
     const auto after = std::chrono::duration<double, std::milli>(b.mean_ms * (0.5 + owner_.draw()));
     Due due{std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::nanoseconds>(after),
-            "", false};
+            "", false, id};
+    open_.push_back(id);
+    owner_.record_(Seen::kCame, id, number_, {});
     double luck = owner_.draw();
     const auto falls = [&luck](double part) { return (luck -= part) < 0; };
     if (falls(b.busy)) {
       due.text = "-BUSY\r\n";
+      owner_.record_(Seen::kNeverRan, id, number_, {});
       return due_.push_back(std::move(due));
     }
     owner_.ran(id);
@@ -86,8 +95,10 @@
     } else if (falls(b.broken)) {
       due.ends = true;
     } else {
-      due.text = good(b.value_bytes, id);
-      if (falls(b.twin)) due.text += good(b.value_bytes, "nobody's");
+      const auto value = value_of(b.value_bytes, id);
+      owner_.record_(Seen::kMade, id, number_, value);
+      due.text = good(value);
+      if (falls(b.twin)) due.text += good(value_of(b.value_bytes, "nobody's"));
     }
     due_.push_back(std::move(due));
   }
@@ -109,13 +120,22 @@
     error_code error;
     asio::write(socket_, asio::buffer(due.text), error);  // answers are small: this does not block for long
     if (error) return close();
+    over(due.id);
     wait();
   }
 
+  void over(const std::string& id) {
+    const auto it = std::find(open_.begin(), open_.end(), id);
+    if (it == open_.end()) return;
+    open_.erase(it);
+    owner_.record_(Seen::kOver, id, number_, {});
+  }
+
   void close() {
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
+    while (!open_.empty()) over(std::string(open_.front()));
   }
 
   HostServer& owner_;
@@ -124,6 +144,8 @@
   resp::Reader reader_{resp::Limits{}, true};
   std::deque<Due> due_;
   bool waiting_ = false;
+  std::uint64_t number_;
+  std::vector<std::string> open_;  // ids of what came and is not over
 };
 
 HostServer::HostServer(asio::io_context& io, const Behaviour& behaviour, std::uint64_t seed,
--- a/stand_ins/host_server.h
+++ b/stand_ins/host_server.h
@@ -3,9 +3,11 @@
 
 #include <boost/asio.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -25,12 +27,20 @@
 
 class HostServer {
  public:
+  // What a host can say of a request, for those who judge by hosts' own record.
+  enum class Seen { kCame, kNeverRan, kMade, kOver };
+  // `connection`: the host's own number for it; `value` of kMade.
+  using Record =
+      std::function<void(Seen seen, const std::string& id, std::uint64_t connection, std::string_view value)>;
+
   // Listens on a port of its own on loopback; port 0: any.
   HostServer(boost::asio::io_context& io, const Behaviour& behaviour, std::uint64_t seed,
              std::uint16_t port = 0);
   ~HostServer();
 
   int port() const { return acceptor_.local_endpoint().port(); }
+  // Called for all that is seen from now on.
+  void set_record(Record record) { record_ = std::move(record); }
   void behave(const Behaviour& behaviour) { behaviour_ = behaviour; }
   std::uint64_t received() const { return received_; }  // requests that came whole
   std::uint64_t accepted() const { return accepted_; }  // connections
@@ -46,6 +56,7 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Behaviour behaviour_;
+  Record record_ = [](Seen, const std::string&, std::uint64_t, std::string_view) {};
   std::mt19937_64 random_;
   std::uint64_t received_ = 0, accepted_ = 0;
   std::unordered_map<std::string, std::size_t> runs_;
--- a/stand_ins/program.h
+++ b/stand_ins/program.h
@@ -20,7 +20,9 @@
 // A program in a process of its own. Its log is its standard error.
 class Child {
  public:
-  Child(const std::vector<std::string>& command, const std::vector<std::string>& environment) {
+  // Its log goes to the file `log`, if that names one, and can't be waited for then.
+  Child(const std::vector<std::string>& command, const std::vector<std::string>& environment,
+        const std::string& log = {}) {
     int out[2];
     if (::pipe2(out, O_CLOEXEC) != 0) throw Hung("no pipe");
     const auto words = [](const std::vector<std::string>& texts) {
@@ -33,7 +35,9 @@
     pid_ = ::fork();
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive whoever scripts it
-      ::dup2(out[1], 2);
+      const int file =
+          log.empty() ? -1 : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+      ::dup2(file >= 0 ? file : out[1], 2);
       ::close_range(3, ~0U,
                     0);  // sockets of this process: their ends would not be seen while the child lives
       ::execve(argv[0], argv.data(), env.data());
@@ -51,7 +55,9 @@
     }
   }
   pid_t pid() const { return pid_; }
-  void signal(int which) const { ::kill(pid_, which); }
+  void signal(int which) const {
+    if (pid_ > 0) ::kill(pid_, which);
+  }
   // The log's next line that holds `text`.
   std::string log_until(const std::string& text) {
     for (;;) {
@@ -72,6 +78,12 @@
     const auto line = log_until(text);
     return std::stoi(line.substr(line.rfind(':') + 1));
   }
+  // Whether it has ended; does not wait.
+  bool ended() {
+    int status = 0;
+    if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_) pid_ = -1;
+    return pid_ <= 0;
+  }
   int exit_code() {
     int status = 0;
     char part[4096];
