--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership.h"
 
+#include "faults.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -24,6 +26,7 @@
 constexpr Ms kWithdrawnKept = 5000;
 constexpr Ms kRivalFades = 5000;
 constexpr std::size_t kMostAccusers = 16, kMostOut = 64, kMostContacts = 64, kMostClaims = 64;
+constexpr std::size_t kMostTold = 5;
 constexpr int kSyncsATick = 2, kTellsATick = 8, kSyncDatagrams = 3;
 constexpr int kSendsByWatcher = 4;    // how often news rides along
 constexpr std::size_t kNewsUpTo = 2;  // pings without an answer
@@ -95,7 +98,23 @@
   if (!current) return receive_stale(now, m, known ? &it->second : nullptr);
   contact(now, it->second);
   const std::uint64_t before = self_.start;
-  for (const auto& r : m.records) merge(now, r, false);
+  std::vector<Record> over;
+  for (const auto& r : m.records) {
+    merge(now, r, false);
+    // Forgotten here, and still counted there: it is over, or it will take a new number when it hears so.
+    const bool forgotten = r.kind == Kind::kAlive && r.start <= floor_ && !members_.contains(r.name);
+    if (!forgotten || over.size() >= kMostTold) continue;
+    over.push_back(r);
+    over.back().kind = Kind::kFailed;
+    over.back().by = self_.name;
+    over.back().age_ms = settings_.forget / 2;
+  }
+  if (!over.empty() && tells_left_ > 0) {
+    --tells_left_;
+    Message tell = message(now, Message::kTell);
+    tell.records = std::move(over);
+    send(now, m.sender.address, std::move(tell));
+  }
   for (const auto& a : m.accusations) take_accusation(now, a);
   if (m.floor >= self_.start) raise(now, m.floor, "the others have forgotten lower numbers");
   if (self_.start != before) ask_sync(now, m.sender.address);
@@ -111,7 +130,8 @@
   }
   const bool news = m.type == Message::kPing || m.type == Message::kAck;
   // While news is on its way everywhere digests differ; one that stays different has missed something.
-  if (news && m.digest != digest_ && now - digest_at_ > 3 * settings_.period && syncs_left_ > 0) {
+  if (news && m.digest != digest_ && now - digest_at_ > 3 * settings_.period && syncs_left_ > 0 &&
+      !mutant(Mutant::kNoDigests)) {
     --syncs_left_;
     ask_sync(now, m.sender.address);
   }
@@ -150,7 +170,7 @@
     if (m.dropped && !own_word && r.kind == Kind::kAlive && order_of(r) <= order_of(m.record)) {
       return hearsay_of_dropped(now, m, r);
     }
-    if (order_of(r) <= order_of(m.record)) {
+    if (order_of(r) <= order_of(m.record) && !mutant(Mutant::kMergesByArrival)) {
       // Who still tells of one that is over is told; such a record may be too old for the digests.
       if (m.record.kind != Kind::kAlive && r.kind == Kind::kAlive && !own_word && m.record_sends == 0)
         spread(m);
@@ -161,8 +181,9 @@
     return true;
   }
   // Of a name that is not known, only who hears it has anything to tell: others may have kept an old copy.
-  const bool old = r.kind == Kind::kAlive ? r.start <= floor_ || (!own_word && r.age_ms > 0)
-                                          : r.age_ms >= settings_.forget;
+  const bool old = r.kind == Kind::kAlive
+                       ? r.start <= floor_ || (!own_word && r.age_ms > 0 && !mutant(Mutant::kBelievesHearsay))
+                       : r.age_ms >= settings_.forget;
   if (old) return false;
   if (members_.size() >= settings_.most) return ++counts_.refused, false;
   Member& m = members_[r.name];
@@ -176,6 +197,7 @@
 void Membership::merge_self(Ms now, const Record& r) {
   if (left_ || order_of(r) <= order_of(self_)) return;
   if (same_start(r, self_)) {
+    if (mutant(Mutant::kStaysFailed)) return;
     ++counts_.returned;
     return raise(now, r.start, r.kind == Kind::kLeft ? "others say that it left" : "others called it failed");
   }
@@ -189,7 +211,7 @@
   // numbers: who is above this one's new number again runs.
   if (claims_.size() >= kMostClaims) claims_.clear();
   const int claims = ++claims_[r.life];
-  if (claims > 1 && r.life > self_.life) return yield_to(now, r);
+  if (claims > 1 && r.life > self_.life && !mutant(Mutant::kNeverYields)) return yield_to(now, r);
   if (claims > 1) set_rival(now, r.address, r.start);
   raise(now, r.start,
         claims > 1 ? "another process has this name" : "this name was known with a higher number");
@@ -245,7 +267,7 @@
 // A copy that somebody merely kept takes nobody back: the teller has to hear it. Who counts on it because
 // this one, a watcher in its eyes, does not complain is told.
 bool Membership::hearsay_of_dropped(Ms now, Member& m, const Record& r) {
-  if (r.age_ms <= 0 && same_start(r, m.record)) {
+  if ((r.age_ms <= 0 || mutant(Mutant::kBelievesHearsay)) && same_start(r, m.record)) {
     take_back(now, m);
     return true;
   }
@@ -312,7 +334,7 @@
   const Ms took = now - it->second;
   s.round_trip = s.round_trip < 0 ? took : s.round_trip + (took - s.round_trip) / 8;
   s.out.erase(s.out.begin(), it + 1);
-  if (s.accused) accuse(now, members_.at(m.sender.name), s, false);
+  if (s.accused && !mutant(Mutant::kNeverTakesBack)) accuse(now, members_.at(m.sender.name), s, false);
 }
 
 void Membership::sync(Ms now, const Message& m) {
@@ -348,7 +370,7 @@
 // silences, are forgiven.
 void Membership::notice_jump(Ms now) {
   const Ms late = last_tick_ > 0 ? now - last_tick_ - settings_.period : 0;
-  if (late <= kLateByTicks * settings_.period) {
+  if (late <= kLateByTicks * settings_.period || mutant(Mutant::kIgnoresStop)) {
     if (trouble_ > 0 && now - trouble_at_ > kTroubleFades) --trouble_, trouble_at_ = now;
     return;
   }
@@ -357,7 +379,7 @@
   starved_until_ = now + hearing_window();
   if (late > 1000)
     change(Change::kStopped, self_.name, self_.start, State::kAlive, std::to_string(std::lround(late)));
-  if (late > settings_.forget / 2) return start_over(now);
+  if (late > settings_.forget / 2 && !mutant(Mutant::kKeepsTheLiving)) return start_over(now);
   for (auto& [name, s] : subjects_) {
     s.out.clear();
     if (s.accused) accuse(now, members_.at(name), s, false);
@@ -410,9 +432,9 @@
       m.watchers.clear();
       continue;
     }
-    find_watchers(now, m);
+    find_watchers(m);
     const bool mine = std::any_of(m.watchers.begin(), m.watchers.end(),
-                                  [&](const Watcher& w) { return w.member->record.name == self_.name; });
+                                  [&](const Member* w) { return w->record.name == self_.name; });
     if (!mine || displaced_) continue;
     const auto had = subjects_.find(name);
     const bool same = had != subjects_.end() && had->second.start == m.record.start;
@@ -428,12 +450,9 @@
   subjects_ = std::move(chosen);
 }
 
-// The next in each ring; where that one was chosen already, the one after it. Who comes to watch one that is
-// in doubt has to have had time to complain before its silence on it counts.
-void Membership::find_watchers(Ms now, Member& m) {
-  const auto before = std::exchange(m.watchers, {});
-  const Ms newly = m.heard && m.accusers.empty() ? now : now + hearing_window();
-  const auto is = [](const Member* w) { return [w](const Watcher& other) { return other.member == w; }; };
+// The next in each ring; where that one was chosen already, the one after it.
+void Membership::find_watchers(Member& m) {
+  m.watchers.clear();
   for (std::size_t r = 0; r < rings_.size(); ++r) {
     const auto& ring = rings_[r];
     auto at = static_cast<std::size_t>(
@@ -442,9 +461,8 @@
         ring.begin());
     for (std::size_t steps = 0; steps < ring.size(); ++steps, ++at) {
       Member* w = ring[at % ring.size()].member;
-      if (w == &m || std::any_of(m.watchers.begin(), m.watchers.end(), is(w))) continue;
-      const auto had = std::find_if(before.begin(), before.end(), is(w));
-      m.watchers.push_back({w, had == before.end() ? newly : had->speaks_from});
+      if (w == &m || std::find(m.watchers.begin(), m.watchers.end(), w) != m.watchers.end()) continue;
+      m.watchers.push_back(w);
       break;
     }
   }
@@ -496,6 +514,7 @@
 }
 
 bool Membership::enough_accuse(Ms now, const Member& m) const {
+  if (mutant(Mutant::kFailsByOne)) return accusers(now, m) > 0;
   const std::size_t most = m.watchers.size() / 2 + 1;
   return !m.watchers.empty() && accusers(now, m) >= std::min(settings_.quorum, most);
 }
@@ -518,13 +537,8 @@
     for (auto& [name, m] : members_) {
       if (!counts(m) || m.heard || enough_accuse(now, m)) continue;
       std::size_t speak = 0, complain = 0;
-      for (const auto& [w, speaks_from] : m.watchers) {
-        if (!w->heard) continue;
-        if (accuses(now, w->record.name, m)) {
-          ++complain;
-        } else if (now >= speaks_from) {
-          ++speak;
-        }
+      for (const Member* w : m.watchers) {
+        if (w->heard) ++(accuses(now, w->record.name, m) ? complain : speak);
       }
       m.heard = speak > 0 && speak >= complain;
       more |= m.heard;
@@ -558,7 +572,8 @@
     }
     const bool accused = m.quorum_since >= 0 && now - m.quorum_since >= settings_.settle;
     const bool silent = m.unheard_since >= 0 && now - m.unheard_since >= settings_.patience;
-    if ((accused || silent) && standing_.may_judge()) {
+    const bool may_judge = standing_.may_judge() || mutant(Mutant::kJudgesCutOff);
+    if ((accused || silent) && may_judge) {
       ++counts_.judged;
       Record failed = m.record;
       failed.kind = Kind::kFailed;
@@ -578,10 +593,11 @@
   for (auto it = members_.begin(); it != members_.end();) {
     Member& m = (it++)->second;
     const Ms age = now - (m.dropped ? m.unheard_since : m.since);
-    if (counts(m) || age < settings_.forget / 2 || m.record.name == self_.name) continue;
+    const bool early = mutant(Mutant::kForgetsTooEarly);
+    if (counts(m) || (age < settings_.forget / 2 && !early) || m.record.name == self_.name) continue;
     set_digest(now, m);
-    if (age < settings_.forget) continue;
-    if (!m.dropped) floor_ = std::max(floor_, m.record.start);
+    if (age < settings_.forget && !early) continue;
+    if (!m.dropped && !early) floor_ = std::max(floor_, m.record.start);
     std::erase(news_, &m);
     members_.erase(std::prev(it));
   }
@@ -648,7 +664,7 @@
   --goodbyes_;
   std::vector<std::string> to;
   for (const auto& [name, s] : subjects_) to.push_back(members_.at(name).record.address);
-  for (const auto& w : members_.at(self_.name).watchers) to.push_back(w.member->record.address);
+  for (const Member* w : members_.at(self_.name).watchers) to.push_back(w->record.address);
   std::sort(to.begin(), to.end());
   to.erase(std::unique(to.begin(), to.end()), to.end());
   for (auto& address : to) send(now, address, message(now, Message::kPing));
@@ -840,7 +856,7 @@
   for (const auto& [name, m] : members_) {
     sum += sizeof m + 48 + 3 * name.size() + m.record.address.size() + m.record.by.size() +
            m.record.extra.size() + m.accusers.capacity() * sizeof(Accuser) +
-           m.watchers.capacity() * sizeof(Watcher) + rings_.size() * sizeof(RingPlace);
+           m.watchers.capacity() * sizeof(Member*) + rings_.size() * sizeof(RingPlace);
   }
   return sum;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -125,11 +125,6 @@
     Ms until = 0;
     bool withdrawn = false;
   };
-  struct Member;
-  struct Watcher {
-    Member* member = nullptr;
-    Ms speaks_from = 0;  // before, that it does not complain says nothing
-  };
   struct Member {
     Record record;
     Ms since = 0;           // of the record's kind
@@ -141,7 +136,7 @@
     State shown = State::kAlive;
     Ms shown_since = 0;
     std::vector<Accuser> accusers;
-    std::vector<Watcher> watchers;
+    std::vector<Member*> watchers;
     int record_sends = 0, accusation_sends = 0;  // still to come
     bool queued = false;                         // in `news_`
     std::uint64_t hash = 0;                      // of its name
@@ -179,7 +174,7 @@
   void notice_jump(Ms now);
   void start_over(Ms now);
   void rebuild_rings(Ms now);
-  void find_watchers(Ms now, Member& member);
+  void find_watchers(Member& member);
   int needed_misses(double loss) const;
   Ms hearing_window() const;
   void judge_subjects(Ms now);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <set>
 
+#include "faults.h"
 #include "membership_model.h"
 #include "wire.h"
 
@@ -381,6 +382,96 @@
   EXPECT_EQ(c.conflicts, 0);
 }
 
+// The same for what must be found: what is wrong in some hard cases, and in random schedules.
+Breaches play(std::uint64_t seed);
+
+Breaches wrong_in_hard_cases() {
+  Breaches all;
+  const auto look = [&all](Cluster& c, const char* name, bool more, const char* what) {
+    for (const auto& b : c.settled()) all.push_back(std::string(name) + ": " + b);
+    if (more) all.push_back(std::string(name) + ": " + what);
+  };
+  {
+    Cluster c(24);
+    c.run(5000);
+    c.group({range(0, 18), range(18, 24)});
+    c.run(6000);
+    c.heal();
+    c.run(8000);
+    look(c, "minority cut off", c.new_starts > 6, "its word went beyond it");
+  }
+  {
+    Cluster c(12);
+    c.run(5000);
+    c.model.pause(7);
+    c.run(5000);
+    c.model.resume(7);
+    c.run(300);
+    for (std::size_t i = 0; i < 12; ++i) {
+      if (c.state(7, i) == State::kSuspect) all.push_back("stopped: it takes others for silent");
+    }
+    c.run(6000);
+    look(c, "stopped", c.false_failures > 0 || c.new_starts > 1, "others paid for it");
+  }
+  {
+    Cluster c(8);
+    c.run(5000);
+    c.model.silent = [](std::size_t a, std::size_t b) { return a + b == 1; };
+    c.run(10'000);
+    c.model.silent = [](std::size_t, std::size_t) { return false; };
+    c.run(8000);
+    look(c, "two that don't hear each other", c.false_failures > 0, "one was failed");
+  }
+  {
+    Cluster c(8);
+    c.run(5000);
+    const std::size_t twin = c.model.add("g3");
+    c.start(twin);
+    c.run(6000);
+    look(c, "one name twice", c.real(3).rival().empty() || c.real(twin).rival().empty() || c.new_starts > 4,
+         "not told, or no end of it");
+  }
+  {
+    Cluster c(60);
+    c.run(6000);
+    for (std::size_t i = 18; i < 60; ++i) c.model.kill(i);
+    c.run(40'000);
+    look(c, "seven in ten killed", false, "");
+  }
+  {
+    Settings s;
+    s.forget = 40'000;
+    Cluster c(12, 1, s);
+    c.run(5000);
+    c.model.pause(11);
+    c.model.kill(5);
+    c.run(60'000);
+    c.model.resume(11);
+    c.start(c.model.add("g12"));
+    for (int i = 0; i < 20; ++i) {
+      c.run(100);
+      if (c.state(12, 5) != State::kLeft)
+        all.push_back("away for long: it revived the dead for one who never knew them");
+    }
+    c.run(8000);
+    look(c, "away for long", false, "");
+  }
+  return all;
+}
+
+TEST(Membership, EachGuardIsSeenToBeNeeded) {
+  for (int i = 1; i < kMutants; ++i) {
+    active_mutant = static_cast<Mutant>(i);
+    auto wrong = wrong_in_hard_cases();
+    std::uint64_t seed = 0;
+    while (wrong.empty() && seed < 400) wrong = play(++seed);
+    active_mutant = Mutant::kNone;
+    EXPECT_FALSE(wrong.empty()) << "mutant " << i;
+    if (!wrong.empty()) std::printf("mutant %d, seed %d: %s\n", i, static_cast<int>(seed), wrong[0].c_str());
+  }
+  EXPECT_EQ(wrong_in_hard_cases(), Breaches{});
+}
+
 // One random schedule; what went wrong.
 Breaches play(std::uint64_t seed) {
   std::mt19937_64 random(seed);
