--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What developers and CI call. Each target installs what is missing first.
-.PHONY: run run-extproc check install build tools explore bench clean
+.PHONY: run run-cluster run-extproc check install build tools explore bench clean
 
 install:
 	@tools/install.sh
@@ -12,6 +12,10 @@
 run-extproc: tools
 	@build/stand-in-proxy tour build/cometfold
 
+# Five gateways that know each other: one is killed, two are cut off, all heals; what each believes. Half a minute.
+run-cluster: tools
+	@build/cometfold-cluster run examples/cluster/tour.toml --show --program build/cometfold
+
 # What the platform builds.
 build: install
 	@sh -c "$$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)"
--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -35,6 +35,8 @@
   return 0;
 }
 
+constexpr std::string_view kWithPeers = "peers + ";
+
 struct Row {
   LoadResult load;
   double cpu_us = 0, peak_mb = 0;
@@ -46,6 +48,36 @@
   const LoadPlan& plan;
   boost::json::object conf;
   std::string relay, settings;
+  int peers = 0;
+};
+
+// Gateways that know each other, the first of them the one to be measured; the others have no clients.
+class Cluster {
+ public:
+  Cluster(const std::string& program, const boost::json::object& conf, int others) {
+    for (int i = 0; i <= others; ++i) {
+      files_.push_back((std::filesystem::temp_directory_path() /
+                        ("bench-" + std::to_string(::getpid()) + "-" + std::to_string(i) + ".toml"))
+                           .string());
+      std::ofstream(files_.back()) << "[peers]\nlisten = \"" << address(i) << "\"\nseeds = [\"" << address(0)
+                                   << "\"]\n";
+      gateways_.push_back(
+          std::make_unique<Program>(program, conf, std::vector<std::string>{"--settings", files_.back()},
+                                    std::vector<std::string>{"EDGE_NAME=n" + std::to_string(i)}));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3));  // to know each other
+  }
+  ~Cluster() {
+    for (const auto& file : files_) std::filesystem::remove(file);
+  }
+  const Program& first() const { return *gateways_.front(); }
+
+ private:
+  static std::string address(int i) {
+    return "127." + std::to_string(64 + ::getpid() % 128) + ".9." + std::to_string(i + 1) + ":7946";
+  }
+  std::vector<std::string> files_;
+  std::vector<std::unique_ptr<Program>> gateways_;
 };
 
 Row measure(const Setup& s, int port, pid_t pid) {
@@ -66,6 +98,10 @@
 }
 
 Row play(const Setup& s, const std::string& what) {
+  if (what.starts_with(kWithPeers)) {
+    const Cluster cluster(what.substr(kWithPeers.size()), s.conf, s.peers);
+    return measure(s, cluster.first().port(), cluster.first().pid());
+  }
   if (what != "relay") {
     std::vector<std::string> arguments;
     if (!s.settings.empty()) arguments = {"--settings", s.settings};
@@ -111,10 +147,12 @@
   std::vector<double> rates{250, 500, 1000, 2000};
   LoadPlan plan;
   Behaviour behaviour;
-  int rounds = 3, host_count = 8;
+  int rounds = 3, host_count = 8, peers = 0;
   double sockets = 1024;
   app.add_option("--program", program, "the gateway")->check(CLI::ExistingFile);
   app.add_option("--peer", other, "another build of it, measured beside")->check(CLI::ExistingFile);
+  app.add_option("--peers", peers, "measure it also with so many other gateways that it knows")
+      ->check(CLI::Range(0, 100));
   app.add_option("--settings", settings, "the gateways' own settings")->check(CLI::ExistingFile);
   app.add_option("--stand-in", relay, "the stand-ins' program")->check(CLI::ExistingFile);
   app.add_option("--rates", rates, "requests a second, one after another")->delimiter(',');
@@ -135,7 +173,7 @@
       discovery.set("s-" + std::to_string(i), hosts.back()->port(), "active");
     }
     std::jthread servers([&io] { io.run(); });
-    Setup setup{hosts, plan, config(discovery.whole(), discovery.port()), relay, settings};
+    Setup setup{hosts, plan, config(discovery.whole(), discovery.port()), relay, settings, peers};
     setup.conf["limits"].as_object()["sockets"] = sockets;
     std::printf("%d hosts of %.1f ms, %d rounds of %.0f s, medians; latency in ms from the intended start\n",
                 host_count, behaviour.mean_ms, rounds, plan.seconds);
@@ -145,6 +183,7 @@
       plan.rate = rate;
       std::vector<std::string> all{"relay", program};
       if (!other.empty()) all.push_back(other);
+      if (peers > 0) all.push_back(std::string(kWithPeers) + program);
       std::map<std::string, std::vector<Row>> rows;
       for (int round = 0; round < rounds; ++round) {
         for (const auto& what : all) rows[what].push_back(play(setup, what));
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -22,8 +22,8 @@
 constexpr Ms kLateByTicks = 1.0;  // periods that a tick may be late before this process blames itself
 constexpr Ms kLastsFirst = 2000, kLastsLater = 15'000;  // accusations, while fresh and later
 constexpr Ms kFresh = 3000;
-constexpr double kSayAgain = 1.0 / 3;  // of the time that it lasts
-constexpr Ms kWithdrawnKept = 5000;
+constexpr double kSayAgain = 1.0 / 3;       // of the time that it lasts
+constexpr Ms kWithdrawnKept = kLastsLater;  // as long as a late copy of what it takes back may live
 constexpr Ms kRivalFades = 5000;
 constexpr std::size_t kMostAccusers = 16, kMostOut = 64, kMostContacts = 64, kMostClaims = 64;
 constexpr std::size_t kMostTold = 5;
@@ -86,7 +86,7 @@
     return;
   }
   if (asked_anew_) {
-    const bool answer = m.type == Message::kSyncReply || m.type == Message::kAck;
+    const bool answer = m.type == Message::kSyncReply || m.type == Message::kAck || m.type == Message::kTell;
     if (!answer || m.number <= *asked_anew_ || m.number > number_) return;
     asked_anew_.reset();
   }
@@ -150,6 +150,7 @@
   if (m.sender.kind != Kind::kAlive || tells_left_ <= 0) return;
   --tells_left_;
   Message tell = message(now, Message::kTell);
+  tell.number = m.number;
   if (known) {
     tell.records.push_back(told(now, *known));
   } else {
@@ -307,6 +308,8 @@
   if (accuser.withdrawn) accuser.until = now + kWithdrawnKept;
   auto it = std::find_if(m.accusers.begin(), m.accusers.end(), [&](auto& a) { return a.by == accuser.by; });
   if (it == m.accusers.end()) {
+    // Danger: a withdrawal kept by one that had forgotten it would go round for ever.
+    if (accuser.withdrawn) return;
     if (m.accusers.size() >= kMostAccusers) m.accusers.erase(m.accusers.begin());
     m.accusers.push_back(std::move(accuser));
   } else {
--- a/src/membership/record.h
+++ b/src/membership/record.h
@@ -53,7 +53,8 @@
     kSync,       // `buckets`: digests of what the sender knows; wants what differs
     kSyncReply,  // what differs, and own digests: wants the rest
     kSyncBack,   // the rest
-    kTell,       // `records` holds what the sender believes of the one told, or `floor` is above its start
+    kTell,  // answers what has `number`: `records` holds what the sender believes of the one told, or `floor`
+            // is above its start
   };
   Type type = kPing;
   Record sender;
--- a/stand_ins/cluster/main.cpp
+++ b/stand_ins/cluster/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 #include "event_log.h"
 #include "history.h"
@@ -39,8 +40,36 @@
   return v.breaches.empty() ? 0 : 1;
 }
 
+// Steps, and what each process believes whenever that changes, for people.
+class Show {
+ public:
+  void line(const Line& line) {
+    const std::string what(line.at("what").as_string());
+    const double t = line.at("t").to_number<double>() / 1000;
+    const auto text = [&line](const char* key) { return std::string(line.at(key).as_string()); };
+    if (what == "start" || what == "end" || what == "stop" || what == "continue") {
+      std::printf("%6.1f s  %s: %s\n", t, text("gateway").c_str(), what.c_str());
+    }
+    if (what == "fault") std::printf("%6.1f s  ---- the next step of the schedule ----\n", t);
+    if (what != "view") return;
+    std::string view = text("gateway") + " stands " + text("standing") + ":";
+    for (const auto& value : line.at("members").as_array()) {
+      const auto& m = value.as_array();
+      if (m.at(0) != line.at("gateway"))
+        view += " " + std::string(m.at(0).as_string()) + " " + std::string(m.at(2).as_string());
+    }
+    std::string& last = last_[line.at("process").to_number<std::uint64_t>()];
+    if (last != view) std::printf("%6.1f s  %s\n", t, (last = view).c_str());
+    std::fflush(stdout);
+  }
+
+ private:
+  std::map<std::uint64_t, std::string> last_;
+};
+
 int run(const Schedule& schedule, const std::string& program, const std::string& history,
-        const std::string& logs) {
+        const std::string& logs, bool show) {
+  Show shown;
   std::vector<Line> lines;
   std::ofstream file;
   if (!history.empty()) {
@@ -51,6 +80,7 @@
             {{"schedule", schedule.name}, {"gateways", schedule.gateways}, {"seed", schedule.seed}});
   play(schedule, program, logs, [&](const Line& line) {
     lines.push_back(line);
+    if (show) shown.line(line);
     if (file.is_open()) file << json::serialize(line) << '\n';
   });
   return tell(schedule.name, check(lines));
@@ -79,6 +109,7 @@
   std::string program, history, logs, folder = "examples/cluster";
   std::uint64_t seed = 0;
   std::size_t gateways = 0;
+  bool show = false;
   auto* run_it = app.add_subcommand("run", "play schedules one after the other, and check each");
   run_it->add_option("schedule", schedules, "TOML files")->required()->check(CLI::ExistingFile);
   auto* replay = app.add_subcommand("replay", "play the schedule of a history again, and check it");
@@ -90,6 +121,7 @@
     sub->add_option("--program", program, "the gateway, as built")->required()->check(CLI::ExistingFile);
     sub->add_option("--history", history, "write the history to this file (of the last schedule)");
     sub->add_option("--logs", logs, "a folder for the gateways' logs");
+    sub->add_flag("--show", show, "print what each process believes, whenever that changes");
     sub->add_option("--seed", seed, "another seed than the schedule's");
     sub->add_option("--gateways", gateways, "more gateways than the schedule's")->check(CLI::Range(1, 100));
   }
@@ -111,7 +143,7 @@
                   : parse_schedule(std::string(read_history(path).at(0).at("text").as_string()), path);
       if (seed) schedule.seed = seed;
       schedule.gateways = std::max(schedule.gateways, gateways);
-      bad += run(schedule, program, history, logs);
+      bad += run(schedule, program, history, logs, show);
     }
     return bad > 0 ? 1 : 0;
   } catch (const std::exception& error) {
--- a/stand_ins/program.h
+++ b/stand_ins/program.h
@@ -105,9 +105,10 @@
   Program(const std::string& program, const boost::json::object& conf,
           std::vector<std::string> arguments = {}, std::vector<std::string> environment = {})
       : path_(file_for(conf)),
+        ready_("ready: " + name_in(environment)),
         child_(command_of(program, std::move(arguments)), environment_of(conf, std::move(environment))),
         admin_port_(conf.contains("admin") ? child_.port_after("operators call at") : 0),
-        port_(child_.port_after("ready: n0")) {}
+        port_(child_.port_after(ready_)) {}
   ~Program() { std::filesystem::remove(path_); }
   int port() const { return port_; }
   int admin_port() const { return admin_port_; }  // 0: there is none
@@ -144,7 +145,15 @@
     return path;
   }
 
+  static std::string name_in(const std::vector<std::string>& environment) {
+    for (const auto& text : environment) {
+      if (text.starts_with("EDGE_NAME=")) return text.substr(10);
+    }
+    return "n0";
+  }
+
   std::filesystem::path path_;
+  std::string ready_;
   Child child_;
   int admin_port_, port_;
 };
--- a/tests/fuzz/seeds.cpp
+++ b/tests/fuzz/seeds.cpp
@@ -1,10 +1,11 @@
-// Writes the fuzz target's seed corpus: good connections and good messages, from which it goes on. seeds
-// FOLDER
+// Writes the fuzz targets' seed corpora: good connections, messages and datagrams, from which they go on.
+// seeds FOLDER PEERS_FOLDER
 #include <filesystem>
 #include <fstream>
 
 #include "extproc_support.h"
 #include "http2_support.h"
+#include "wire.h"
 
 using namespace thistlepond::http2::testing;
 namespace messages = thistlepond::extproc::testing;
@@ -40,6 +41,24 @@
            m;
   };
   seed(std::string(1, '\1') + one(ask("a", "1"), 4) + one(report, 0) + one(ask("a", "2"), 1));
+  namespace peers = thistlepond::membership;
+  const std::filesystem::path datagrams = argv[2];
+  std::filesystem::create_directories(datagrams);
+  std::ofstream all(datagrams / "all", std::ios::binary);
+  for (const auto type :
+       {peers::Message::kPing, peers::Message::kAck, peers::Message::kSync, peers::Message::kTell}) {
+    peers::Message m;
+    m.type = type;
+    m.sender = {"g" + std::to_string(type), "10.0.0.2:1", 7, 8, peers::Kind::kAlive, 0, "", ""};
+    m.records = {{"g9", "10.0.0.3:1", 4, 4, peers::Kind::kFailed, 10, "g1", ""},
+                 {"g0", "10.0.0.1:1", 5, 9, peers::Kind::kFailed, 10, "g1", ""}};
+    m.accusations = {{"g2", 7, 8, "g1", 7, 1, 2000}};
+    if (type == peers::Message::kSync) m.buckets.assign(peers::kBuckets, 1);
+    const std::string body = peers::encode(m, "fuzz").substr(12);
+    const std::string framed{static_cast<char>(body.size() >> 8), static_cast<char>(body.size() & 255)};
+    all << framed << body;
+    std::ofstream(datagrams / std::to_string(type), std::ios::binary) << framed << body;
+  }
   seed(std::string(1, '\1') + one(ask("a", "1"), 0) + one(ask("a", "1"), 1) + one(report, 52) +
        one(report, 33));
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -339,6 +339,19 @@
   EXPECT_EQ(c.settled(), Breaches{});
 }
 
+TEST(Membership, NewsComesToAnEnd) {
+  Cluster c(48);
+  c.run(5000);
+  c.model.links.loss = 0.3;
+  c.run(20'000);
+  c.model.links.loss = 0;
+  c.run(40'000);
+  std::size_t riding = 0;
+  c.model.size = [&riding](const Message& m) { return riding += m.records.size() + m.accusations.size(); };
+  c.run(5000);
+  EXPECT_EQ(riding, 0U);
+}
+
 TEST(Membership, FlappingEveryThreeSecondsKeepsTheOthersTogether) {
   Cluster c(12);
   c.run(5000);
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -15,6 +15,9 @@
  public:
   explicit Program(const boost::json::object& conf, std::vector<std::string> environment = {})
       : stand_ins::Program(COMETFOLD_PROGRAM, conf, {}, std::move(environment)) {}
+  Program(const boost::json::object& conf, std::vector<std::string> arguments,
+          std::vector<std::string> environment)
+      : stand_ins::Program(COMETFOLD_PROGRAM, conf, std::move(arguments), std::move(environment)) {}
 };
 
 }  // namespace thistlepond::net::testing
--- /dev/null
+++ b/tests/peers_test.cpp
@@ -0,0 +1,167 @@
+// The other gateways, as operators meet them: settings, the call, figures, cometfold-ctl; and nothing of it
+// where it is off. How several processes behave together is played by the cluster rig (examples/cluster).
+#include <cstdio>
+#include <fstream>
+
+#include "line_bound.h"
+#include "net_support.h"
+#include "own_settings.h"
+
+namespace thistlepond::net::testing {
+namespace {
+
+namespace json = boost::json;
+
+std::string settings_file(const std::string& text) {
+  static int made = 0;
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("peers-" + std::to_string(::getpid()) + "-" + std::to_string(++made) + ".toml");
+  std::ofstream(path) << text;
+  return path.string();
+}
+
+std::string complaint(const std::string& text) {
+  const auto path = settings_file(text);
+  std::string why;
+  try {
+    read_own_settings(path);
+  } catch (const OwnSettingsError& error) {
+    why = error.what();
+  }
+  std::filesystem::remove(path);
+  return why.substr(why.find(".toml") == std::string::npos ? 0 : why.find(".toml") + 5);
+}
+
+struct Ran {
+  int code = -1;
+  std::string out;
+};
+Ran ctl(const std::string& arguments) {
+  Ran ran;
+  FILE* pipe = ::popen((std::string(COMETFOLD_CTL) + " " + arguments + " 2>&1").c_str(), "r");
+  char part[4096];
+  for (std::size_t n; (n = std::fread(part, 1, sizeof part, pipe)) > 0;) ran.out.append(part, n);
+  ran.code = WEXITSTATUS(::pclose(pipe));
+  return ran;
+}
+
+std::string call(const Program& program, const std::string& target) {
+  auto peer = Peer::connect(program.admin_port());
+  peer.send("GET " + target + " HTTP/1.1\r\nHost: gateway\r\n\r\n");
+  std::string all;
+  for (std::string line; !(line = peer.line()).empty();) all += line + "\n";
+  std::size_t length = std::stoul(all.substr(all.find("Content-Length: ") + 16));
+  return all + "\n" + peer.exactly(length);
+}
+
+// A port that was free a moment ago, at an address that no other test uses.
+struct Place {
+  Place() {
+    Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl((127U << 24) | (200U << 16) | static_cast<unsigned>(::getpid() & 0xffff));
+    ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    socklen_t size = sizeof at;
+    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at), &size);
+  }
+  std::string text() const {
+    char ip[INET_ADDRSTRLEN];
+    ::inet_ntop(AF_INET, &at.sin_addr, ip, sizeof ip);
+    return std::string(ip) + ":" + std::to_string(ntohs(at.sin_port));
+  }
+  sockaddr_in at{};
+};
+
+struct Serving {
+  explicit Serving(const std::string& settings) : file(settings_file(settings)) {
+    conf["admin"] = "127.0.0.1:0";
+  }
+  ~Serving() { std::filesystem::remove(file); }
+  Listener host, discovery;
+  std::string file;
+  json::object conf = config(list(7, true, {target("s-1", host.port())}), discovery.port());
+};
+
+TEST(Peers, SettingsSayWhereTheyAreWrongAndWhatWouldBeRight) {
+  EXPECT_EQ(complaint("[peers]\nlisten = \"127.0.0.1:7946\"\nseeds = [\"127.0.0.1:7947\"]\n"), "");
+  EXPECT_EQ(complaint("[peers]\nlisten = 3\n"),
+            ":2: peers.listen must be an IP address and a port, such as \"127.0.0.1:9002\"");
+  EXPECT_NE(
+      complaint("[peers]\nseeds = [\"127.0.0.1\"]\n").find(":2: peers.seeds must be a list of at most 64"),
+      std::string::npos);
+  EXPECT_NE(complaint("[peers]\nseed = []\n").find(":2: 'peers.seed' is not known"), std::string::npos)
+      << complaint("[peers]\nseed = []\n");
+  EXPECT_NE(complaint("[peers]\nlisten = \"0.0.0.0:7946\"\n").find("'advertise' must say"),
+            std::string::npos);
+  EXPECT_NE(complaint("[peers]\nlisten = \"127.0.0.1:1\"\nquorum = 6\n").find("'quorum' must be at most"),
+            std::string::npos);
+  EXPECT_NE(complaint("[peers]\nlisten = \"127.0.0.1:1\"\nforget_ms = 10000\n").find("'forget_ms' must be"),
+            std::string::npos);
+}
+
+TEST(Peers, OffWithoutAnAddressAndThenNothingShows) {
+  Serving serving("[hosts]\n");
+  Program program(serving.conf, {"--settings", serving.file}, {});
+  EXPECT_NE(call(program, "/_members").find("404"), std::string::npos);
+  EXPECT_EQ(call(program, "/_vars").find("peers"), std::string::npos);
+  const auto ran = ctl("members --at 127.0.0.1:" + std::to_string(program.admin_port()));
+  EXPECT_EQ(ran.code, 1);
+  EXPECT_NE(ran.out.find("knows of no others"), std::string::npos);
+}
+
+TEST(Peers, OneThatKnowsNobodySaysThatItIsAlone) {
+  const Place place;
+  Serving serving("[peers]\nlisten = \"" + place.text() + "\"\n");
+  Program program(serving.conf, {"--settings", serving.file}, {});
+  const auto at = " --at 127.0.0.1:" + std::to_string(program.admin_port());
+  const auto ran = ctl("members --json" + at);
+  ASSERT_EQ(ran.code, 0) << ran.out;
+  const auto all = json::parse(ran.out).as_object();
+  EXPECT_EQ(all.at("name"), "n0");
+  EXPECT_EQ(all.at("standing"), "alone");
+  const auto& me = all.at("members").as_array().at(0).as_object();
+  EXPECT_EQ(me.at("name"), "n0");
+  EXPECT_EQ(me.at("address"), place.text().c_str());
+  EXPECT_EQ(me.at("state"), "alive");
+  EXPECT_EQ(me.at("start"), all.at("start"));
+  EXPECT_TRUE(me.contains("since_ms"));
+  EXPECT_NE(ctl("members" + at).out.find("n0 (start "), std::string::npos);
+  EXPECT_NE(call(program, "/_members").find("Content-Type: application/json"), std::string::npos);
+
+  // What is no datagram of ours is dropped and counted.
+  Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  ::sendto(fd.get(), "noise", 5, 0, reinterpret_cast<const sockaddr*>(&place.at), sizeof place.at);
+  while (call(program, "/_vars").find("edge_edge.peers.dropped.foreign:1|c") == std::string::npos) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+TEST(Peers, AnAddressThatAnotherProcessHoldsIsWaitedFor) {
+  const Place place;
+  auto holder = std::make_unique<Fd>(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  ASSERT_EQ(::bind(holder->get(), reinterpret_cast<const sockaddr*>(&place.at), sizeof place.at), 0);
+  Serving serving("[peers]\nlisten = \"" + place.text() + "\"\n");
+  Program program(serving.conf, {"--settings", serving.file}, {});
+  holder.reset();
+  program.log_until("\"peers_open\"");
+}
+
+TEST(Peers, CtlSaysWhatIsWrong) {
+  EXPECT_EQ(ctl("members --at 127.0.0.1:1").code, 1);
+  EXPECT_NE(ctl("members --at nowhere").out.find("must be an address and a port"), std::string::npos);
+  EXPECT_NE(ctl("members").code, 0);
+  EXPECT_EQ(ctl("--version").code, 0);
+}
+
+TEST(LineBound, ABurstThenARateAndWhatWasLeftOutIsCounted) {
+  LineBound bound(3, 2);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(bound.take(1000), 0U);
+  EXPECT_EQ(bound.take(1000), std::nullopt);
+  EXPECT_EQ(bound.take(1100), std::nullopt);
+  EXPECT_EQ(bound.take(1600), 2U);
+  EXPECT_EQ(bound.take(1601), std::nullopt);
+  EXPECT_EQ(bound.take(1e9), 1U);  // and never silent for good
+}
+
+}  // namespace
+}  // namespace thistlepond::net::testing
