The rig's judge: a stopped process has half a second to answer, a planned end excuses nothing

Under sanitizers a request that was open when its gateway was stopped, and was answered after it went on, was judged as an answer that nobody asked for. Its time is now extended to half a second after the stop; only a kill excuses.

--- a/stand_ins/cluster/play.cpp
+++ b/stand_ins/cluster/play.cpp
@@ -313,7 +313,9 @@
 
   void end(Place& p, int signal) {
     if (!p.child || p.child->ended()) return;
-    say(of("end", p));
+    auto line = of("end", p);
+    line["killed"] = true;
+    say(std::move(line));
     p.child->signal(signal);
     p.child->exit_code();
   }
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -51,6 +51,8 @@
   auto served = about(220, "served");
   served["value"] = "v";
   h.push_back(served);
+  h.push_back(view(2000, "g0", 1, 10, both));
+  h.push_back(view(2001, "g1", 2, 11, both));
   h.push_back(view(4000, "g0", 1, 10, both));
   h.push_back(view(4001, "g1", 2, 11, both));
   h.push_back({{"t", 4100}, {"what", "finished"}});
@@ -98,6 +100,7 @@
   EXPECT_NE(breaches(h).find("stands doubtful"), std::string::npos);
   h = good_history();
   h.erase(h.end() - 2);
+  (h.end() - 2)->at("t") = 9000;
   EXPECT_NE(breaches(h).find("says nothing any more"), std::string::npos);
 }
 
