--- a/stand_ins/cluster/history.h
+++ b/stand_ins/cluster/history.h
@@ -4,7 +4,8 @@
 //   {"t","what":"schedule","text","name","seed"}       first of all
 //   {"t","what":"settings","config"}                   the gateways' configuration, as the rules are judged
 //   by it
-//   {"t","what":"start"|"end","gateway","process"}     a process; two of one name differ in `process`; `killed`
+//   {"t","what":"start"|"end","gateway","process"}     a process; two of one name differ in `process`;
+//   `killed`
 //   {"t","what":"stop"|"continue","gateway","process"}
 //   {"t","what":"fault","do","who"}                    any step of the schedule
 //   {"t","what":"view","gateway","process","start","standing","conflict","members":[[name,start,state]...]}
--- a/stand_ins/cluster/main.cpp
+++ b/stand_ins/cluster/main.cpp
@@ -125,6 +125,14 @@
     sub->add_option("--seed", seed, "another seed than the schedule's");
     sub->add_option("--gateways", gateways, "more gateways than the schedule's")->check(CLI::Range(1, 100));
   }
+  std::uint64_t first = 1, count = 1;
+  auto* random = app.add_subcommand("random", "play schedules drawn from seeds, and check each");
+  random->add_option("--program", program, "the gateway, as built")->required()->check(CLI::ExistingFile);
+  random->add_option("--history", history, "write the history to this file (of the last schedule)");
+  random->add_option("--logs", logs, "a folder for the gateways' logs");
+  random->add_option("--first", first, "the first seed");
+  random->add_option("--count", count, "so many seeds")->check(CLI::Range(1, 10'000));
+  random->add_option("--gateways", gateways, "gateways; 8 if not said")->check(CLI::Range(2, 100));
   auto* check_it = app.add_subcommand("check", "judge a history");
   check_it->add_option("history", schedules, "as `run` wrote it")
       ->required()
@@ -137,6 +145,10 @@
     if (*list_them) return list(folder);
     if (*check_it) return tell(schedules.front(), check(read_history(schedules.front())));
     int bad = 0;
+    for (std::uint64_t n = 0; *random && n < count; ++n) {
+      const auto text = random_schedule(first + n, gateways > 0 ? gateways : 8);
+      bad += run(parse_schedule(text, "random schedule"), program, history, logs, show);
+    }
     for (const auto& path : schedules) {
       auto schedule =
           *run_it ? read_schedule(path)
--- a/stand_ins/cluster/schedule.cpp
+++ b/stand_ins/cluster/schedule.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <fstream>
 #include <map>
+#include <random>
 #include <sstream>
 
 namespace thistlepond::stand_ins::cluster {
@@ -165,6 +166,68 @@
   return s;
 }
 
+std::string random_schedule(std::uint64_t seed, std::size_t gateways) {
+  std::mt19937_64 random(seed);
+  const auto draw = [&random](std::size_t below) { return static_cast<std::size_t>(random() % below); };
+  std::ostringstream out;
+  // More than half may be lost at once, and the silent are waited for.
+  out << "name = \"random " << seed << "\"\nseed = " << seed << "\ngateways = " << gateways
+      << "\nsettle = 45\nagree_within = 40\nrate = 30\n";
+  double time = 0;
+  const auto step = [&](const char* what) -> std::ostringstream& {
+    out << "[[at]]\ntime = " << time << "\ndo = \"" << what << "\"\n";
+    return out;
+  };
+  const auto who = [&](std::size_t n) { return "who = \"" + gateway_name(n) + "\"\n"; };
+  const auto pause = [&](std::size_t most_ms) { time += 0.2 + static_cast<double>(draw(most_ms)) / 1000; };
+  for (std::size_t n = 4 + draw(5); n > 0; --n) {
+    const std::size_t one = draw(gateways);
+    switch (draw(7)) {
+      case 0:
+        step(draw(2) == 0 ? "kill" : "term") << who(one);
+        pause(5000);
+        step("start") << who(one);
+        break;
+      case 1:
+        step("kill") << who(one);
+        break;
+      case 2:
+        step("stop") << who(one);
+        pause(6000);
+        step("continue") << who(one);
+        break;
+      case 3: {
+        step("cut") << "groups = [";
+        std::vector<std::string> groups(2 + draw(2));
+        for (std::size_t i = 0; i < gateways; ++i) {
+          std::string& group = groups[draw(groups.size())];
+          group += (group.empty() ? "\"" : ", \"") + gateway_name(i) + "\"";
+        }
+        for (const auto& group : groups) out << '[' << group << "], ";
+        out << "]\n";
+        pause(8000);
+        step("heal");
+        break;
+      }
+      case 4:
+        step("link") << "from = \"all\"\nto = \"all\"\nloss = 0." << draw(4) << "\njitter_ms = " << draw(100)
+                     << "\nduplicate = 0." << draw(3) << "\ncorrupt = 0.0" << draw(9) << "\nreplay = 0."
+                     << draw(3) << "\n";
+        break;
+      case 5:
+        step("link") << "from = \"all\"\nto = \"" << gateway_name(one) << "\"\nsilent = true\n";
+        break;
+      case 6:
+        step("starve") << who(one) << "seconds = " << 1 + draw(4) << "\n";
+        break;
+    }
+    pause(4000);
+  }
+  time += 4;  // whoever is starved is so no more
+  step("heal");
+  return out.str();
+}
+
 Schedule read_schedule(const std::string& path) {
   std::ifstream file(path);
   std::stringstream text;
--- a/stand_ins/cluster/schedule.h
+++ b/stand_ins/cluster/schedule.h
@@ -45,4 +45,8 @@
 Schedule parse_schedule(const std::string& text, const std::string& place);
 Schedule read_schedule(const std::string& path);
 
+// A schedule drawn from `seed`, as TOML: some of all that can go wrong, and all of it over at the end. The
+// same seed and size, the same schedule.
+std::string random_schedule(std::uint64_t seed, std::size_t gateways);
+
 }  // namespace thistlepond::stand_ins::cluster
