--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -109,7 +109,7 @@
   std::map<HostId, Known> known_;
   boost::asio::steady_timer stop_timer_, drain_timer_;
   std::unique_ptr<AdminServer> admin_;
-  std::unique_ptr<Peers> peers_;  // null: it knows of no others
+  std::unique_ptr<Peers> peers_;              // null: it knows of no others
   std::unique_ptr<Predecessor> predecessor_;  // until it has ended
   std::unique_ptr<Handover> handover_;
   boost::asio::steady_timer ready_timer_, proxies_timer_, listen_timer_;
--- a/src/ops/calls.cpp
+++ b/src/ops/calls.cpp
@@ -8,7 +8,8 @@
   const bool change = path == "/_lameduck/on" || path == "/_lameduck/off";
   if (!read && !change) {
     return {404,
-            "no such call: there are GET /_ready, GET /_vars, GET /_members, POST /_lameduck/on, POST /_lameduck/off\n"};
+            "no such call: there are GET /_ready, GET /_vars, GET /_members, POST /_lameduck/on, POST "
+            "/_lameduck/off\n"};
   }
   const std::string_view wanted = read ? "GET" : "POST";
   if (method != wanted) return {405, std::string(path) + " is asked for with " + std::string(wanted) + "\n"};
--- a/src/ops/figures.h
+++ b/src/ops/figures.h
@@ -19,12 +19,12 @@
 };
 
 struct Figures {
-  std::size_t in_progress = 0;        // requests taken and not yet ended
-  std::size_t known_hosts = 0;        // in the list
-  std::size_t skipped_hosts = 0;      // listed, and avoided now
-  std::uint64_t loads = 0;            // files taken at SIGHUP
-  std::uint64_t load_errors = 0;      // and turned down
-  engine::CauseFigures refused = {};  // or given up
+  std::size_t in_progress = 0;            // requests taken and not yet ended
+  std::size_t known_hosts = 0;            // in the list
+  std::size_t skipped_hosts = 0;          // listed, and avoided now
+  std::uint64_t loads = 0;                // files taken at SIGHUP
+  std::uint64_t load_errors = 0;          // and turned down
+  engine::CauseFigures refused = {};      // or given up
   std::optional<PeerFigures> peers = {};  // if there are any
 };
 
