Crossings at watches, held-back clients, closes, the stop and restarted hosts are mended

The test of malformed lines sends an empty line behind "{", which by itself may now be the beginning of a list; what it expects is unchanged. - client_link.cpp: a client that left while nothing was read from it was not seen; its attempt went on. - tcp_stream.cpp, client_link.cpp: an asynchronous read takes bytes some turns before it tells of them, so a connection with a request in it was closed as idle (one that connects just before the listener closes), and a request that crossed the last answer was read and dropped, owed and never answered. The wait is asynchronous now and the read is not; a connection that has said its last answer reads nothing more. - clients.cpp: with a full table the stop reset who waited in the kernel's queue; to make room a connection with a request in it was closed.

--- a/src/control/customers.cpp
+++ b/src/control/customers.cpp
@@ -21,24 +21,23 @@
 }
 
 Customer& Control::State::customer_of(const Request& q) {
-  const auto& p = set.plans[q.plan_index];
-  const double spread = std::clamp(q.spread, 1.0, std::max(1.0, set.gateways));
   auto [it, fresh] = customers.try_emplace(q.customer);
   Customer& c = it->second;
   if (fresh) {
+    c.spread = std::clamp(q.spread, 1.0, std::max(1.0, set.gateways));
+    c.parent.level = c.whole.level = kNoTime;  // full, once they have a volume
+  }
+  // Danger: one that moves to another plan would keep the ceiling of the plan before.
+  if (fresh || c.plan != q.plan_index) {
     c.plan = q.plan_index;
-    c.spread = spread;
-    const double rate = refills() * p.quota_rate / spread;
-    const double volume = p.burst / spread, part = handed ? kKeptShare : 1;
-    c.parent = {volume, rate, volume * part, now};
-    c.allowance = volume * part;
-    c.whole = {p.burst, refills() * p.quota_rate, p.burst * part, now};
-    const auto n = static_cast<double>(set.classes.size());
-    c.children.assign(set.classes.size(), Child{{volume, rate / n, volume * part, now}, 0});
+    shape(c);
+  }
+  if (fresh) {
+    const double part = handed ? kKeptShare : 1;
+    c.allowance = c.parent.level *= part, c.whole.level *= part;
+    for (auto& child : c.children) child.bucket.level *= part;
     // A ceiling's slice starts empty at each start of this gateway: it may have given all before it fell.
-    const double top = p.ceiling_burst / spread;
-    const double since = refills() * p.ceiling_rate / spread * (now - born) / 1000;
-    c.ceiling = {top, refills() * p.ceiling_rate / spread, std::min(top, since), now};
+    c.ceiling.level = std::min(c.ceiling.volume, c.ceiling.rate * (now - born) / 1000);
   }
   c.seen = now;
   return c;
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -59,6 +59,7 @@
       node_->pool.add(e.id, {"10.0.0." + std::to_string(e.cell), 1}, e.started_at);
   }
   node_->engine.on_list(now_, kind, entries);
+  node_->pool.end_stale(now_);
   for (const auto& e : entries) {
     Event told{.kind = Event::kTold, .gateway = 1, .host = e.id};
     told.entry = e;
@@ -259,6 +260,10 @@
     conn->incoming.erase(0, n);
     events->on_read(now_, n, n == 0);
   }
+  const auto events = conn->events.lock();
+  if (conn->state == Conn::kUp && conn->peer_ended && events && std::exchange(conn->awaits_end, false)) {
+    events->on_read(now_, 0, true);
+  }
 }
 
 void World::end_stream(Conn& conn) {
@@ -312,7 +317,8 @@
     d.add(c->id << 8 | std::uint64_t{c->state} << 4 | std::uint64_t{c->reading} << 3 |
           std::uint64_t{c->awaits_room} << 2 | std::uint64_t{c->blocked} << 1 | std::uint64_t{c->later});
     d.add(std::uint64_t{c->host} << 2 | std::uint64_t{c->peer_ended} << 1 | std::uint64_t{c->whole} |
-          std::uint64_t{c->shut} << 40 | std::uint64_t{c->stalled} << 41);
+          std::uint64_t{c->shut} << 40 | std::uint64_t{c->awaits_end} << 42 |
+          std::uint64_t{c->stalled} << 41);
     d.add(c->connect_by);
     d.add(c->request);
     d.add(c->incoming);
--- a/src/explore/world_parts.h
+++ b/src/explore/world_parts.h
@@ -98,7 +98,7 @@
   std::weak_ptr<resp::StreamEvents> events;
   Ms connect_by = 0;
   std::span<char> space;
-  bool reading = false, awaits_room = false, blocked = false, later = false;
+  bool reading = false, awaits_end = false, awaits_room = false, blocked = false, later = false;
   std::string incoming;  // has arrived and is not read
   bool peer_ended = false;
   bool shut = false;          // the gateway sends no more: what comes now crosses its close
@@ -145,9 +145,14 @@
     conn_->space = space;
     conn_->reading = true;
   }
+  void await_end() override {
+    conn_->reading = false;
+    conn_->awaits_end = true;
+  }
   void later() override { conn_->later = true; }
   std::size_t unread() override { return conn_->incoming.size(); }
   bool quiet() override { return conn_->incoming.empty() && !conn_->peer_ended; }
+  bool ended() override { return conn_->peer_ended; }
   void shut_send() override {
     conn_->shut = true;
     if (!world_.clients_[conn_->client].owed.empty()) {
--- a/src/limits/attempt_limits.h
+++ b/src/limits/attempt_limits.h
@@ -63,7 +63,7 @@
 struct Refusal {
   std::string file;
   int line = 0;
-  std::string setting;  // such as limits.class.item-hold.send_until_ms
+  std::string setting;  // such as limits.class.NAME.send_until_ms
   std::string why;      // one sentence, with the chain of events where there is one
   std::string nearest;  // the nearest value that would be lawful, as it would be written; empty: none is
   // FILE:LINE: SETTING: WHY; lawful: NEAREST
--- a/src/net/backoff.h
+++ b/src/net/backoff.h
@@ -27,6 +27,14 @@
   // `gateways` call the same discovery; from 1.
   explicit Backoff(double gateways = 1) : fleet_(std::clamp(gateways, 1.0, kMostGateways)) {}
 
+  // Danger: what an agent on this machine has counts as told, and nobody else presses it: a gateway that waits
+  // a second and more with its call sends to hosts that drain. So no pause is long, whatever the watch died of.
+  static Backoff for_agent() {
+    Backoff backoff;
+    backoff.agent_ = true;
+    return backoff;
+  }
+
   // The first call of one that has a list is drawn evenly from nothing to this.
   std::chrono::milliseconds spread() const {
     return std::chrono::milliseconds(static_cast<long>(60 * std::max(fleet_ - kFewGateways, 0.0)));
@@ -34,7 +42,9 @@
 
   // The pause is drawn evenly between half and one and a half of what this gives, in milliseconds.
   std::chrono::milliseconds next(WatchEnd end) {
-    if (end == WatchEnd::kHeard) {
+    if (agent_) {
+      pause_ = end == WatchEnd::kHeard ? kFirst : kLongestAgent;
+    } else if (end == WatchEnd::kHeard) {
       pause_ = kFirst;
     } else if (end == WatchEnd::kTurnedAway) {
       const std::chrono::milliseconds turn(static_cast<long>(50 * fleet_));  // of the whole fleet
@@ -46,10 +56,12 @@
   }
 
   static constexpr double kFewGateways = 16, kMostGateways = 1000;
-  static constexpr std::chrono::milliseconds kFirst{50}, kLongest{1000}, kLongestAway{6000};
+  static constexpr std::chrono::milliseconds kFirst{50}, kLongest{1000}, kLongestAway{6000},
+      kLongestAgent{100};
 
  private:
   double fleet_;
+  bool agent_ = false;
   std::chrono::milliseconds pause_ = kFirst;
 };
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::size_t kManySilent = 4;  // one of so many: more are no usual clients that have just come
-constexpr auto kSweep = std::chrono::milliseconds(250);
+constexpr auto kSweep = std::chrono::milliseconds(100);  // a client that left is found before 0.3 s
 constexpr auto kAcceptAgain = std::chrono::milliseconds(5);
 
 }  // namespace
@@ -116,6 +116,7 @@
   connections_.emplace(id, link);
   if (draining_) link->end_after_next();
   link->start(std::make_unique<TcpStream>(std::move(socket), clock_, *link));
+  if (winding_down_) link->wind_down(clock_.now());
   trim();
 }
 
@@ -166,17 +167,22 @@
 
 // Danger: if only idle clients made room, those that say nothing or half of something would keep others out.
 // Where they are many the oldest of them goes first: a usual client sends at once, so its turn does not come.
+// One with something unread has a request here, or half of one, and stays.
 bool Clients::make_room() {
   std::shared_ptr<resp::ClientLink> worst, silent;
   std::size_t silent_ones = 0;
   for (const auto& [id, c] : connections_) {
     const int spare = c->spare();
     if (spare == 0) continue;
-    if (c->silent() && ++silent_ones && (!silent || c->used() < silent->used())) silent = c;
-    if (!worst || spare > worst->spare() || (spare == worst->spare() && c->used() < worst->used())) worst = c;
+    const bool silently = c->silent() && ++silent_ones && (!silent || c->used() < silent->used());
+    const bool worse =
+        !worst || spare > worst->spare() || (spare == worst->spare() && c->used() < worst->used());
+    if ((!silently && !worse) || c->unread() > 0) continue;
+    if (silently) silent = c;
+    if (worse) worst = c;
   }
   if (!worst) return false;
-  (silent_ones * kManySilent > most_ ? silent : worst)->close(clock_.now());
+  (silent && silent_ones * kManySilent > most_ ? silent : worst)->close(clock_.now());
   return true;
 }
 
@@ -191,19 +197,34 @@
 
 void Clients::wind_down() {
   if (winding_down_) return;
-  // What the kernel has accepted already is taken: it is served, not reset with the listener.
-  while (begun_ && acceptor_.is_open() && connections_.size() < most_) {
-    error_code error;
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error) break;
-    accepted(std::move(socket));
-  }
   winding_down_ = true;
-  error_code ignored;
-  acceptor_.close(ignored);
   retry_accept_.cancel();
   end_idle();
+  empty_queue();
+}
+
+// What the kernel has accepted already is taken: it is served, not reset with the listener. Danger: where the
+// table is full it waits there for those that end, and the listener with it.
+void Clients::empty_queue() {
+  error_code error;
+  while (begun_ && acceptor_.is_open() && !error) {
+    tcp::socket socket(io_);
+    if (connections_.size() < most_ || make_room()) {
+      acceptor_.accept(socket, error);
+      if (!error) accepted(std::move(socket));
+      if (error == asio::error::connection_aborted) error.clear();
+    } else {
+      error = asio::error::no_descriptors;
+    }
+  }
+  if (error && error != asio::error::would_block && error != asio::error::try_again) {
+    retry_accept_.expires_after(kAcceptAgain);
+    retry_accept_.async_wait([this](error_code stopped) {
+      if (!stopped) empty_queue();
+    });
+    return;
+  }
+  acceptor_.close(error);
 }
 
 void Clients::set_draining(bool on) {
@@ -217,6 +238,10 @@
   for (const auto& [id, c] : all) c->wind_down(clock_.now());
 }
 
+std::size_t Clients::connections() const {
+  return connections_.size() + (winding_down_ && acceptor_.is_open() ? 1 : 0);
+}
+
 void Clients::close_all() {
   const auto all = connections_;
   for (const auto& [id, c] : all) c->close(clock_.now());
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -61,7 +61,8 @@
 
   // From here on nobody new; connections close as soon as nothing is owed on them.
   void wind_down();
-  std::size_t connections() const { return connections_.size(); }
+  // Those that are open; while the queue of newcomers is not empty yet after `wind_down`, one more.
+  std::size_t connections() const;
   void close_all();
 
   // Drain on demand. While it is on, connections end after their next answer, new ones too.
@@ -83,6 +84,7 @@
   void accept();
   void accept_one();
   void accepted(boost::asio::ip::tcp::socket socket);
+  void empty_queue();
   void sweep();
   void trim();
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -23,9 +23,17 @@
 
 namespace {
 
-constexpr auto kConnectWithin = 1s;
-constexpr auto kSilent = 5s;    // a live watch sends a line every 2 s
+constexpr auto kSilent = 3s;    // a live watch sends a line every 2 s
 constexpr auto kCatchUp = 10s;  // by then two agents that tell of the same fleet agree
+
+// Danger: what a silent watch misses counts as told 6 s after its last word, and 4 s after an address that is
+// new. The silence, the pauses and two more tries must fit in it. An agent on this machine answers at once,
+// so one that does not is asked again soon; a service may have calls wait for their turn.
+struct Pace {
+  std::chrono::milliseconds connect, first_word;
+};
+constexpr Pace kAgentsPace{300ms, 1000ms}, kServicesPace{1000ms, 5000ms};
+
 // It answers, and does not give the list now.
 struct TurnedAway : ListError {
   using ListError::ListError;
@@ -132,21 +140,25 @@
   asio::awaitable<void> pause(std::chrono::milliseconds span, std::chrono::milliseconds least = {});
   asio::awaitable<void> fetch();
   asio::awaitable<void> follow();
+  asio::awaitable<void> ask(beast::tcp_stream& stream, const std::string& target);
   void take_lines(std::string& text);
-  void take_list(std::string_view text);
+  void take_line(std::string_view line);
+  void take_list(const json::value& value);
 
   Discovery& owner_;
   tcp::endpoint at_;
   std::optional<std::uint64_t> version_;
   asio::steady_timer pause_timer_;
   beast::tcp_stream* stream_ = nullptr;  // the one in use
+  json::stream_parser parser_;           // of a list that may stand on several lines
+  std::size_t begun_ = 0;                // bytes of such a list that have come, 0: none
   bool heard_ = false;                   // this time it has said something that could be read
   bool asked_ = false;                   // the call has gone out whole
   bool dropped_ = false, last_ = false;
 };
 
 asio::awaitable<void> Discovery::Watch::run([[maybe_unused]] std::shared_ptr<Watch> self) {
-  Backoff backoff(owner_.gateways_);
+  Backoff backoff = owner_.caller_.agent ? Backoff::for_agent() : Backoff(owner_.caller_.gateways);
   if (version_) co_await pause(backoff.spread());
   while (!dropped_) {
     heard_ = asked_ = false;
@@ -201,22 +213,23 @@
   beast::tcp_stream*& place_;
 };
 
-asio::awaitable<void> ask(beast::tcp_stream& stream, const tcp::endpoint& at, const std::string& target) {
-  stream.expires_after(kConnectWithin);
-  co_await stream.async_connect(at, asio::use_awaitable);
+}  // namespace
+
+asio::awaitable<void> Discovery::Watch::ask(beast::tcp_stream& stream, const std::string& target) {
+  const Pace& pace = owner_.caller_.agent ? kAgentsPace : kServicesPace;
+  stream.expires_after(pace.connect);
+  co_await stream.async_connect(at_, asio::use_awaitable);
   http::request<http::empty_body> request(http::verb::get, target, 11);
-  request.set(http::field::host, at.address().to_string() + ":" + std::to_string(at.port()));
-  stream.expires_after(kSilent);
+  request.set(http::field::host, at_.address().to_string() + ":" + std::to_string(at_.port()));
+  stream.expires_after(pace.first_word);
   co_await http::async_write(stream, request, asio::use_awaitable);
 }
 
-}  // namespace
-
 // The whole list, where no version is known that this address would understand.
 asio::awaitable<void> Discovery::Watch::fetch() {
   beast::tcp_stream stream(owner_.io_);
   const Shown shown(stream_, stream);
-  co_await ask(stream, at_, "/api/targets");
+  co_await ask(stream, "/api/targets");
   asked_ = true;
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
@@ -225,13 +238,19 @@
   if (dropped_) co_return;
   if (parser.get().result() != http::status::ok)
     throw TurnedAway("discovery answered another status than 200");
-  take_list(parser.get().body());
+  json::value value;
+  try {
+    value = json::parse(parser.get().body());
+  } catch (const std::exception& error) {
+    throw ListError(std::string("malformed line: ") + error.what());
+  }
+  take_list(value);
 }
 
 asio::awaitable<void> Discovery::Watch::follow() {
   beast::tcp_stream stream(owner_.io_);
   const Shown shown(stream_, stream);
-  co_await ask(stream, at_, "/api/targets?follow=1&since=" + std::to_string(version_.value_or(0)));
+  co_await ask(stream, "/api/targets?follow=1&since=" + std::to_string(version_.value_or(0)));
   asked_ = true;
   beast::flat_buffer buffer;
   http::response_parser<http::buffer_body> parser;
@@ -241,6 +260,7 @@
     throw TurnedAway("discovery answered another status than 200");
 
   std::string text;
+  begun_ = 0;
   std::array<char, 16 * 1024> part;
   while (!parser.is_done()) {
     parser.get().body().data = part.data();
@@ -252,7 +272,7 @@
     if (error && error != http::error::need_buffer) throw boost::system::system_error(error);
     text.append(part.data(), part.size() - parser.get().body().size);
     take_lines(text);
-    if (text.size() > kMostLine) throw ListError("a line has no end");
+    if (text.size() + begun_ > kMostLine) throw ListError("a line has no end");
   }
 }
 
@@ -261,20 +281,46 @@
 void Discovery::Watch::take_lines(std::string& text) {
   std::size_t from = 0;
   for (std::size_t end; !dropped_ && (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
-    const auto line = std::string_view(text).substr(from, end - from);
-    if (line.find_first_not_of(" \r") == std::string_view::npos) {
-      heard_ = true;
-      continue;
-    }
-    take_list(line);
+    take_line(std::string_view(text).substr(from, end - from + 1));
   }
   text.erase(0, from);
 }
 
-void Discovery::Watch::take_list(std::string_view text) {
+namespace {
+
+bool is_list(std::string_view line) {
+  boost::system::error_code error;
+  const auto value = json::parse(line, error);
+  return !error && value.is_object() && value.get_object().contains("rev");
+}
+
+}  // namespace
+
+// A list may stand on several lines, but has no empty one within: that is a sign of life, and none comes in
+// the middle of a list. Danger: one that is cut off would swallow all lists that come behind it.
+void Discovery::Watch::take_line(std::string_view line) {
+  const bool empty = line.find_first_not_of(" \t\r\n") == std::string_view::npos;
+  if (empty && begun_ == 0) {
+    heard_ = true;
+    return;
+  }
+  if (begun_ > 0 && (empty || (line.front() == '{' && is_list(line)))) {
+    throw ListError("malformed line: a list is cut off");
+  }
+  if (begun_ == 0) parser_.reset();
+  begun_ += line.size();
+  boost::system::error_code error;
+  parser_.write(line.data(), line.size(), error);
+  if (error) throw ListError("malformed line: " + error.message());
+  if (!parser_.done()) return;
+  begun_ = 0;
+  take_list(parser_.release());
+}
+
+void Discovery::Watch::take_list(const json::value& value) {
   TargetList list;
   try {
-    list = read_targets(json::parse(text));
+    list = read_targets(value);
   } catch (const std::exception& error) {
     throw ListError(std::string("malformed line: ") + error.what());
   }
@@ -284,9 +330,9 @@
   version_ = version;
 }
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::uint64_t seed, double gateways,
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::uint64_t seed, const Caller& caller,
                      DiscoveryEvents& events)
-    : io_(io), at_(at), random_(seed), gateways_(gateways), events_(events), recheck_(io) {}
+    : io_(io), at_(at), random_(seed), caller_(caller), events_(events), recheck_(io) {}
 
 Discovery::~Discovery() {
   for (const auto& watch : {watch_, next_}) {
@@ -313,9 +359,11 @@
     watch_ = std::exchange(next_, nullptr);
     if (keep_farewells(list)) {
       // The two disagree. Whoever lagged has caught up by then, and the whole list is asked for again.
+      // Danger: a watch that another move has told to end would close for it and not be begun again, before
+      // the next one has said a word; that one says all of the list anyway.
       recheck_.expires_after(kCatchUp);
       recheck_.async_wait([this](boost::system::error_code error) {
-        if (!error) watch_->ask_for_all();
+        if (!error && !next_) watch_->ask_for_all();
       });
     }
   }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -54,9 +54,12 @@
 // whole list, so that no drain told meanwhile is lost; then it is dropped.
 class Discovery {
  public:
-  // `gateways`: how many call this discovery, this one included.
+  struct Caller {
+    double gateways = 1;  // that press the same discovery, this one included
+    bool agent = false;   // it is one on this machine, which answers at once and at no cost
+  };
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, std::uint64_t seed,
-            double gateways, DiscoveryEvents& events);
+            const Caller& caller, DiscoveryEvents& events);
   ~Discovery();
 
   void start(std::uint64_t known_version);
@@ -77,7 +80,7 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint at_;
   std::mt19937_64 random_;
-  double gateways_;
+  Caller caller_;
   DiscoveryEvents& events_;
   std::shared_ptr<Watch> watch_;  // the one that is believed
   std::shared_ptr<Watch> next_;   // takes its place with its first list
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -69,9 +69,14 @@
 
 // Bodies may have an eighth of the memory: an attempt holds a copy, and what comes in and goes out needs as
 // much again.
+//
+// Danger: the time to settle ends before SIGKILL comes, and that goes by the longest deadline of the classes
+// there are now: one that new settings withdrew has no name any more and bounds nothing.
 engine::Limits engine_limits(const Config& config) {
   Ms longest = 0;
-  for (const auto& c : config.settings.classes) longest = std::max(longest, c.deadline_ms);
+  for (std::size_t i = 0; i < config.settings.classes.size(); ++i) {
+    if (!config.class_names[i].empty()) longest = std::max(longest, config.settings.classes[i].deadline_ms);
+  }
   return {.open = config.max_open,
           .bytes = config.memory_mb * 1024 * 1024 / 8,
           .margin = kMargin,
@@ -80,7 +85,10 @@
 
 // Gateways that press the same discovery. Danger: where it pushes, its agent on this machine answers at once,
 // and what it has counts as told: waiting with the call let drained hosts have more.
-double callers(const Config& config) { return config.settings.must_subscribe ? config.settings.gateways : 1; }
+Discovery::Caller callers(const Config& config) {
+  if (!config.settings.must_subscribe) return {.gateways = 1, .agent = true};
+  return {.gateways = config.settings.gateways, .agent = false};
+}
 
 resp::Names names_of(const Config& config) {
   resp::Names names{
@@ -207,6 +215,7 @@
     }
   }
   engine_.on_list(clock_.now(), kind, all);
+  hosts_.pool().end_stale(clock_.now());
   for (const auto& e : all) {
     if (e.state == HostState::kGone) known_.erase(e.id);
   }
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -1,6 +1,9 @@
 #include "tcp_stream.h"
 
+#include <poll.h>
+
 #include <chrono>
+#include <utility>
 
 namespace thistlepond::net {
 namespace asio = boost::asio;
@@ -49,11 +52,33 @@
   });
 }
 
+// Danger: an asynchronous read takes bytes out of the socket some turns before it tells of them. A connection
+// that is closed or used anew in between looks quiet and is not: a request taken in is lost, noise is taken
+// for an answer. So the wait is asynchronous and the read is not.
 void TcpStream::read(std::span<char> space) {
-  socket_.async_read_some(asio::buffer(space.data(), space.size()),
-                          [this, keep = events_.shared_from_this()](error_code error, std::size_t bytes) {
-                            events_.on_read(clock_.now(), bytes, static_cast<bool>(error));
-                          });
+  space_ = space;
+  await_readable();
+}
+
+void TcpStream::await_end() {
+  only_end_ = true;
+  await_readable();
+}
+
+void TcpStream::await_readable() {
+  if (std::exchange(awaiting_, true)) return;
+  socket_.async_wait(tcp::socket::wait_read, [this, keep = events_.shared_from_this()](error_code error) {
+    awaiting_ = false;
+    readable(error);
+  });
+}
+
+void TcpStream::readable(error_code error) {
+  if (only_end_ && !error && !ended()) return;  // what has come stays where it is
+  std::size_t bytes = 0;
+  if (!error && !only_end_) bytes = socket_.read_some(asio::buffer(space_.data(), space_.size()), error);
+  if (blocked(error)) return await_readable();  // nothing was there after all
+  events_.on_read(clock_.now(), bytes, only_end_ || error);
 }
 
 void TcpStream::later() {
@@ -73,6 +98,16 @@
   return blocked(error);
 }
 
+bool TcpStream::ended() {
+  pollfd look{socket_.native_handle(), POLLRDHUP, 0};
+  if (::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0)
+    return true;
+  char byte;
+  error_code error;
+  const auto n = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return n == 0 && !blocked(error);
+}
+
 void TcpStream::shut_send() {
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
+#include <span>
 
 #include "clock.h"
 #include "stream.h"
@@ -22,19 +23,26 @@
   Written write(std::string_view bytes) override;
   void await_writable() override;
   void read(std::span<char> space) override;
+  void await_end() override;
   void later() override;
   std::size_t unread() override;
   bool quiet() override;
+  bool ended() override;
   void shut_send() override;
   void close() override;
 
  private:
   void connected(bool up);
+  void await_readable();
+  void readable(boost::system::error_code error);
 
   boost::asio::ip::tcp::socket socket_;
   Clock& clock_;
   resp::StreamEvents& events_;
   std::unique_ptr<boost::asio::steady_timer> timer_;  // while connecting
+  std::span<char> space_;                             // to read into
+  bool awaiting_ = false;                             // that something comes
+  bool only_end_ = false;                             // and it stays unread
 };
 
 class TcpDialer : public resp::Dialer {
--- a/src/resp/client_link.cpp
+++ b/src/resp/client_link.cpp
@@ -21,6 +21,8 @@
 constexpr Ms kFirstCommand = 2'300;
 constexpr Ms kWholeCommand = 2'500;
 constexpr Ms kIdle = 2'300;
+constexpr Ms kJustCome =
+    100;  // since it connected or had its last answer: its next request may be on its way
 constexpr std::size_t kMostMistakes = 8;  // of one connection; then it is closed, or its errors eat the CPU
 constexpr Ms kLinger = 500;  // after the last answer, for the client to read it before a reset could
 constexpr std::size_t kLargeHalf = 16 * 1024;  // less of a command is always kept until its rest comes
@@ -166,17 +168,21 @@
   return idle() ? 2 : out_.empty() ? 1 : 0;
 }
 
+// Danger: a connection that has just come may have its first request on the way, and one with something
+// unread has it here: both are served before they end.
 void ClientLink::wind_down(Ms now) {
-  if (idle()) {
-    close(now);
-  } else {
-    last_ = true;
-  }
+  last_ = winding_down_ = true;
+  close_if_unused(now);
+}
+
+void ClientLink::close_if_unused(Ms now) {
+  if (idle() && now - moved_ >= kJustCome && stream_->unread() == 0) close(now);
 }
 
 // Danger: clients that say nothing, half of something or nothing more would fill the table for good.
 void ClientLink::sweep(Ms now) {
   if (closed_) return;
+  if (held_back_ && stream_->ended()) return close(now);
   if (lingering_) {
     if (now - moved_ > kLinger) close(now);
     return;
@@ -187,6 +193,7 @@
     const bool silent = first_ == 0 && now - half_since_ > kFirstCommand;
     const bool half = !reader_.empty() && now - half_since_ > kWholeCommand;
     if (silent || half || (reader_.empty() && now - moved_ > kIdle)) return close(now);
+    if (winding_down_) return close_if_unused(now);
   }
   if (held_back_) go_on(now);
 }
@@ -245,7 +252,7 @@
   if (ended) return close(now);
   // Bytes that come in are no progress of a client that does not read its answers.
   if (out_.empty() && slots_.empty() && !lingering_) touch(now);
-  if (lingering_ || broken_) return read();  // read and dropped, so that closing sends no reset
+  if (broken_) return read();  // read and dropped, so that closing sends no reset
   if (reader_.empty() && (first_ > 0 || !slots_.empty())) half_since_ = now;
   reader_.commit(bytes);
   go_on(now);
@@ -266,8 +273,10 @@
   if (held_back_) go_on(now);
 }
 
+// Danger: a client that sent much and left would have the rest sent on whenever there is room again.
 void ClientLink::go_on(Ms now) {
   if (closed_ || lingering_) return;
+  if (held_back_ && stream_->ended()) return close(now);
   held_back_ = false;
   parse(now);
   write(now);
@@ -335,7 +344,8 @@
   // Danger: commands that were held back, or wait in the socket, have come in already; ending here would
   // leave them unanswered.
   if (!last_ || !slots_.empty() || parsing_ || held_back_) return;
-  if (broken_ || stream_->unread() == 0) linger(now);
+  // Half a command may have the rest on its way.
+  if (broken_ || (stream_->unread() == 0 && reader_.empty())) linger(now);
 }
 
 void ClientLink::on_writable(Ms now, bool ok) {
@@ -348,12 +358,15 @@
 }
 
 // Danger: closing a socket with unread bytes sends a reset, which may destroy the last answer on its way.
+// What comes behind a mistake is read and dropped. Danger: a request that crosses this end is one that nobody
+// has read, so that its client may send it elsewhere; read, it would be owed an answer that can't go out any
+// more.
 void ClientLink::linger(Ms now) {
   if (lingering_) return;
   lingering_ = true;
   moved_ = now;
   stream_->shut_send();
-  read();
+  broken_ ? read() : stream_->await_end();
 }
 
 void ClientLink::digest(engine::Digest& into) const {
--- a/src/resp/client_link.h
+++ b/src/resp/client_link.h
@@ -118,6 +118,7 @@
   void parse(Ms now);
   void write(Ms now);
   void linger(Ms now);
+  void close_if_unused(Ms now);
   void keep_unsent(const Named& named);
 
   ClientOwner& owner_;
@@ -138,7 +139,8 @@
   bool closed_ = false, reading_ = false, writing_ = false, write_failed_ = false;
   bool parsing_ = false, held_back_ = false, resuming_ = false, broken_ = false, lingering_ = false;
   bool room_due_ = false;
-  bool last_ = false;  // close when nothing is owed any more
+  bool last_ = false;          // close when nothing is owed any more
+  bool winding_down_ = false;  // and what idles is closed too
 };
 
 }  // namespace thistlepond::resp
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -272,6 +272,8 @@
 // Links and their pools hold each other until a link is closed.
 HostPool::~HostPool() { close_all(); }
 
+// Danger: an attempt that still waits for its connection was meant for the process before. Behind a connect
+// that comes up late it would reach the one that has just started and is cold, or a stranger at that address.
 void HostPool::add(HostId host, const Address& at, Ms started_at) {
   auto& pool = pools_[host];
   if (const auto back = leaving_.find(host); !pool && back != leaving_.end()) {
@@ -281,12 +283,21 @@
   if (!pool) pool = std::make_shared<Pool>();
   if (pool->at != at || pool->started_at != started_at) {
     for (const auto& link : std::vector(pool->idle)) link->close();
+    for (const auto& link : pool->links) {
+      if (!link->up()) stale_.push_back(link);
+    }
   }
   pool->at = at;
   pool->started_at = started_at;
   pool->open = true;
 }
 
+void HostPool::end_stale(Ms now) {
+  for (const auto& link : std::exchange(stale_, {})) {
+    if (!link->up()) link->finish(now, Outcome::kConnectFailed);
+  }
+}
+
 void HostPool::retire(Ms now, HostId host) {
   const auto it = pools_.find(host);
   if (it == pools_.end()) return;
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -65,6 +65,9 @@
 
   // A host to send to, from now on at this address. A change of address or of process drops idle connections.
   void add(HostId host, const Address& at, Ms started_at);
+  // After the module knows the list that `add` was called for: ends attempts that wait for a connection to the
+  // process or address before. They never ran.
+  void end_stale(Ms now);
 
   StartResult start(Ms now, AttemptId attempt, HostId host, const engine::Payload& payload, Ms left) override;
   StartResult start(Ms now, AttemptId attempt, HostId host, std::string request);
@@ -99,6 +102,7 @@
   std::unordered_map<HostId, std::shared_ptr<Pool>> pools_;
   std::unordered_map<HostId, std::shared_ptr<Pool>> leaving_;  // retired, with attempts still out
   std::unordered_map<AttemptId, std::shared_ptr<Link>> out_;
+  std::vector<std::shared_ptr<Link>> stale_;  // not up when their host was added anew
   std::size_t links_ = 0;
 };
 
--- a/src/resp/stream.h
+++ b/src/resp/stream.h
@@ -42,13 +42,18 @@
   virtual ~Stream() = default;
   virtual Written write(std::string_view bytes) = 0;
   virtual void await_writable() = 0;
-  // `space` must stay where it is until `on_read`.
+  // `space` must stay where it is until `on_read`. Bytes are taken from the other side inside the turn that tells
+  // of them and never before: what has come and was not told is counted by `unread`.
   virtual void read(std::span<char> space) = 0;
+  // Nothing is read any more, not even what was asked for: `on_read` tells the other side's end, if it comes.
+  virtual void await_end() = 0;
   virtual void later() = 0;
   // Bytes that have come and are not read yet.
   virtual std::size_t unread() = 0;
   // Nothing has come that is not read yet, and the other side has not ended.
   virtual bool quiet() = 0;
+  // The other side has ended or is gone, whatever it sent before and is not read yet.
+  virtual bool ended() = 0;
   virtual void shut_send() = 0;
   virtual void close() = 0;
 };
--- a/stand_ins/peer.h
+++ b/stand_ins/peer.h
@@ -115,6 +115,11 @@
     }
     return true;
   }
+  // Waits until the other side has answered with a reset.
+  bool is_reset() {
+    pollfd p{fd_.get(), 0, 0};
+    return ::poll(&p, 1, kHangMs) > 0 && (p.revents & POLLERR) != 0;
+  }
   bool quiet(int ms) { return held_.empty() && !readable(fd_.get(), ms); }
   void reset() {
     const linger now{1, 0};
@@ -144,6 +149,7 @@
     port_ = ntohs(at.sin_port);
   }
   int port() const { return port_; }
+  int fd() const { return fd_.get(); }
   bool waiting(int ms) const { return readable(fd_.get(), ms); }
   Peer accept() {
     if (!waiting(kHangMs)) throw Hung("nobody connected");
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -496,7 +496,7 @@
        {"{", "[]", "{\"rev\":9}", "{\"rev\":9,\"all\":false,\"targets\":[{\"uid\":\"s-2\"}]}"}) {
     auto agent = discovery.accept();
     EXPECT_NE(watch_head(agent).find("since=" + std::to_string(since) + " "), std::string::npos);
-    chunk(agent, bad + "\n");
+    chunk(agent, bad + "\n\n");
     program.log_until("malformed line");
   }
   auto client = program.client();
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -86,6 +86,8 @@
   void later() override { ++laters; }
   std::size_t unread() override { return 0; }
   bool quiet() override { return true; }
+  bool ended() override { return false; }
+  void await_end() override {}
   void shut_send() override {}
   void close() override { closed = true; }
   std::string out;
--- /dev/null
+++ b/tests/no_deployment.py
@@ -0,0 +1,51 @@
+"""No class, plan, zone or host kind of a deployment is named in the program or its deploy file.
+
+The names are those of the deployments under deploy/sites, and of two that the program is known to serve. That the
+check can fail is tried first, on a text that names one.
+"""
+import pathlib
+import re
+import sys
+import tomllib
+
+KNOWN = {
+    "granite-coast", "stock-servers", "std-4core", "stock-lookup", "item-hold", "corner", "storefront", "flagship",
+    "anchor", "north-building", "mill-building", "south-building", "muscat-loans", "loan-servers", "std-2core",
+    "loan-lookup", "premium", "muscat-dc1",
+}  # and 'basic' and 'standard', which are words of other things too
+
+
+def names_of(site):
+    yield site["name"]
+    yield from site["net"]["zones"]
+    for tier in site["tier"]:
+        yield tier["name"]
+        yield from (kind["name"] for kind in tier["kind"])
+    for part in ("class", "tenant"):
+        yield from (item["name"] for item in site[part])
+
+
+def named_in(text, names):
+    return sorted(n for n in names if re.search(r"(?<![A-Za-z0-9_-])" + re.escape(n) + r"(?![A-Za-z0-9_-])", text))
+
+
+def main(root):
+    names = set(KNOWN)
+    sites = sorted((root / "deploy/sites").glob("*/*.toml"))
+    if len(sites) < 2:
+        sys.exit("no deployments under deploy/sites")
+    for path in sites:
+        names.update(names_of(tomllib.loads(path.read_text())))
+    if named_in('if (name == "item-hold")', names) != ["item-hold"] or named_in("anchored", names):
+        sys.exit("this check can't find a name")
+    files = [root / "deploy/balancer.toml"]
+    for folder in ("src", "include", "adapter"):
+        files += [p for p in (root / folder).rglob("*") if p.is_file()]
+    bad = [f"{path.relative_to(root)}: {', '.join(found)}"
+           for path in sorted(files) if (found := named_in(path.read_text(), names))]
+    if bad:
+        sys.exit("named after a deployment:\n" + "\n".join(bad))
+    print(f"{len(files)} files name none of {len(names)}")
+
+
+main(pathlib.Path(sys.argv[1]))
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -162,6 +162,34 @@
   EXPECT_EQ(given, 2);
 }
 
+// A customer's plan is what its latest request says: a ceiling that comes with it holds from that request on,
+// and begins empty, as the true store may.
+TEST(NewSettings, ACustomerThatChangesItsPlanHasTheNewOnesCeiling) {
+  auto settings = with_ceiling();
+  settings.plans.push_back(settings.plans[0]);
+  settings.plans[0].ceiling_rate = settings.plans[0].ceiling_burst = 0;
+  settings.plans[1].ceiling_burst = 4;  // a slice of two units
+  settings.plans[1].ceiling_rate = 0.4;
+  Gateway g(settings, {host(1), host(2)}, 100000);
+  g.wait(10000);
+  const auto asks = [&](RequestId id, std::uint32_t plan) {
+    Request q;
+    q.id = id, q.plan_index = plan, q.customer = 1, q.expires_at = g.now + 4000, q.units = 1, q.spread = 2;
+    g.control.on_request(g.now, q, g.out);
+    const bool given = g.out.of(Act::kSend, id) != nullptr;
+    g.answer_all(5);
+    return given;
+  };
+  EXPECT_TRUE(asks(1, 0));
+  EXPECT_FALSE(asks(2, 1));
+  g.wait(12'000);
+  EXPECT_TRUE(asks(3, 1));
+  EXPECT_TRUE(asks(4, 1));
+  EXPECT_FALSE(asks(5, 1));
+  EXPECT_TRUE(asks(6, 0));   // its first plan has no ceiling still
+  EXPECT_FALSE(asks(7, 1));  // and going there and back fills nothing
+}
+
 TEST(NewSettings, ClassesAreAddedUnderWayAndAHeldRequestKeepsItsRight) {
   auto settings = plain_settings(1);
   settings.plans[0].quota_rate = settings.plans[0].burst = 1000;
