--- a/adapter/settings.cpp
+++ b/adapter/settings.cpp
@@ -99,6 +99,7 @@
   s.max_attempts = num("ceilings.max_attempts", s.max_attempts);
   s.max_retry_after_ms = num("ceilings.max_retry_after_ms", s.max_retry_after_ms);
   s.tick_ms = num("granularity_ms", s.tick_ms);
+  s.conn_idle_ms = num("ceilings.conn_idle_ms", s.conn_idle_ms);
   s.cold_from = num("rules.cold_from", s.cold_from);
   s.warm_after_ms = num("rules.warm_after_ms", s.warm_after_ms);
   s.overload_factor = num("rules.overload_factor", s.overload_factor);
--- a/include/thistlepond/control.h
+++ b/include/thistlepond/control.h
@@ -62,7 +62,8 @@
   bool sizes_known = false;  // `HostEntry::size` compares hosts
   double max_attempts = 1;
   Ms max_retry_after_ms = 0;
-  Ms tick_ms = 0;  // shortest gap between events
+  Ms tick_ms = 0;           // shortest gap between events
+  Ms conn_idle_ms = 15000;  // hosts close a connection that has stood idle for so long
   double cold_from = 0;
   Ms warm_after_ms = 0;
   double overload_factor = 1;
--- a/src/control/hosts.cpp
+++ b/src/control/hosts.cpp
@@ -109,7 +109,8 @@
   Ms expected = class_time(q.class_index) * h.slow;
   if (awaited(h) > 0) expected = std::max(expected, now - h.quiet_since);
   double c = expected * (h.out + 1 + ahead(h)) * (1 + kFailCost * (h.fails + full_for(h, q)));
-  if (set.gateways > kThinSet && (now - h.quiet_since > kMetMs || h.newest_answered <= 0)) c *= kStranger;
+  const bool met = h.newest_answered > 0 && now - h.quiet_since <= kMetShare * set.conn_idle_ms;
+  if (set.gateways > kThinSet && !met) c *= kStranger;
   return h.entry.zone == set.my_zone ? c : c * kOtherZone;
 }
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -422,6 +422,30 @@
   }
 }
 
+// How long a connection lives unused is the deployment's own figure: 5 s after its last answer a host is
+// still met where that is 15 s, and as strange as one never met where it is 6 s.
+TEST(Fleet, AHostIsMetForAsLongAsConnectionsToItLive) {
+  const auto strangers_asked = [](Ms conn_idle) {
+    int asked = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      auto s = plain_settings();
+      s.gateways = 100;
+      s.conn_idle_ms = conn_idle;
+      Gateway g(s, {host(1)}, 100'000, seed);
+      g.ask(1);
+      g.answer_all();
+      g.list(ListKind::kChanges, {host(2)});
+      g.wait(5000);
+      g.ask(2, 1, 2, 2);
+      const auto* sent = g.out.of(Act::kSend, 2);
+      asked += sent && sent->host == 2;
+    }
+    return asked;
+  };
+  EXPECT_EQ(strangers_asked(15'000), 0);
+  EXPECT_GT(strangers_asked(6'000), 5);
+}
+
 // A request of two units was believed more than one of one unit, by the same gateway of the same
 // customer.
 TEST(Scale, LargerRequestsAreBelievedNoMoreThanSmallOnes) {
