--- a/src/net/backoff.h
+++ b/src/net/backoff.h
@@ -27,8 +27,9 @@
   // `gateways` call the same discovery; from 1.
   explicit Backoff(double gateways = 1) : fleet_(std::clamp(gateways, 1.0, kMostGateways)) {}
 
-  // Danger: what an agent on this machine has counts as told, and nobody else presses it: a gateway that waits
-  // a second and more with its call sends to hosts that drain. So no pause is long, whatever the watch died of.
+  // Danger: what an agent on this machine has counts as told, and nobody else presses it: a gateway that
+  // waits a second and more with its call sends to hosts that drain. So no pause is long, whatever the watch
+  // died of.
   static Backoff for_agent() {
     Backoff backoff;
     backoff.agent_ = true;
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -65,8 +65,8 @@
 
   // A host to send to, from now on at this address. A change of address or of process drops idle connections.
   void add(HostId host, const Address& at, Ms started_at);
-  // After the module knows the list that `add` was called for: ends attempts that wait for a connection to the
-  // process or address before. They never ran.
+  // After the module knows the list that `add` was called for: ends attempts that wait for a connection to
+  // the process or address before. They never ran.
   void end_stale(Ms now);
 
   StartResult start(Ms now, AttemptId attempt, HostId host, const engine::Payload& payload, Ms left) override;
