Commands that were read are answered before a close for too many errors

Cause: ClientConnection::send_error counted errors over the connection's whole life, whoever caused them. The eighth set input_rejected_, which is meant for input that has lost its framing: the commands in the buffer were dropped and the connection was closed as soon as no reply was pending.

Change: errors count in a row only; a command that is answered without one starts the count anew. At the limit no more bytes are read, the commands in the buffer are dispatched and answered, and then the connection is closed. What is still in the socket stays unread, so its client sees a reset.

--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -47,6 +47,10 @@
 // While a read is pending this only replaces its space, as parsing may have moved the buffer.
 void ClientConnection::read() {
   if (closed_) return;
+  if (input_ended_) {
+    stream_->await_peer_close();
+    return callbacks_.on_reads_paused();
+  }
   read_pending_ = true;
   stream_->read(input_.prepare_read());
 }
@@ -134,8 +138,10 @@
 }
 
 void ClientConnection::dispatch_command(Ms now, ResponseHandle handle) {
+  const std::size_t errors_before = consecutive_errors_;
   const CommandResult result = callbacks_.on_command(now, handle, input_.frame().items, input_.elapsed(now));
   if (closed_) return;
+  if (consecutive_errors_ == errors_before) consecutive_errors_ = 0;
   if (ReplySlot* slot = find_incomplete(handle.sequence)) {
     slot->command = result;
   } else {
@@ -152,7 +158,7 @@
 }
 
 void ClientConnection::check_disconnected(Ms now) {
-  if (closed_ || !paused_) return;
+  if (closed_ || !(paused_ || input_ended_)) return;
   if (stream_->peer_closed()) {
     close(now, CloseReason::kClientClosed);
   } else {
@@ -165,7 +171,8 @@
   into.add(std::uint64_t{closed_} | std::uint64_t{read_pending_} << 1 | std::uint64_t{write_blocked_} << 2 |
            std::uint64_t{write_failed_} << 3 | std::uint64_t{paused_} << 4 |
            std::uint64_t{input_rejected_} << 5 | std::uint64_t{lingering_} << 6 |
-           std::uint64_t{close_after_reply_} << 7 | std::uint64_t{resume_posted_} << 8);
+           std::uint64_t{close_after_reply_} << 7 | std::uint64_t{resume_posted_} << 8 |
+           std::uint64_t{input_ended_} << 9);
   replies_.digest(into);
 }
 
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -68,8 +68,8 @@
   void start_value(Ms now, std::uint64_t sequence, std::size_t size);
   bool append_value(Ms now, std::uint64_t sequence, std::string_view bytes);
   void finish_value(Ms now, std::uint64_t sequence);
-  // Sends an error line for a command that is not a valid request. After too many of them the connection is
-  // closed.
+  // Sends an error line for a command that is not a valid request. After too many of them in a row nothing
+  // more is read, and the connection is closed once the commands that were read have their replies.
   void send_error(Ms now, std::uint64_t sequence, std::string_view message);
 
   bool is_idle() const {
@@ -149,7 +149,7 @@
   ReplyQueue replies_;
   Ms last_progress_ = 0;
   std::uint64_t last_used_ = 0;
-  std::size_t invalid_commands_ = 0;
+  std::size_t consecutive_errors_ = 0;  // of commands that were not valid requests
 
   bool closed_ = false;
   bool read_pending_ = false;            // awaiting `on_read`
@@ -160,6 +160,7 @@
   bool resume_posted_ = false;           // `on_posted` resumes the dispatch of commands
   bool capacity_notice_posted_ = false;  // `on_posted` calls `on_client_writable`
   bool input_rejected_ = false;          // incoming bytes are discarded
+  bool input_ended_ = false;             // no more bytes are read, but the buffered commands are answered
   bool close_after_reply_ = false;       // close once no reply is pending
   bool draining_ = false;                // also close while idle
   bool lingering_ = false;               // the last reply is written and the send side is shut down
--- a/src/resp/client_connection_closing.cpp
+++ b/src/resp/client_connection_closing.cpp
@@ -94,12 +94,14 @@
   // leave them without a reply.
   if (!close_after_reply_ || !replies_.empty() || dispatching_ || paused_) return;
   // The rest of an incomplete command may be in transit.
-  if (input_rejected_ || (stream_->unread_bytes() == 0 && input_.empty())) linger(now);
+  const bool takes_no_more = input_rejected_ || input_ended_;
+  if (takes_no_more || (stream_->unread_bytes() == 0 && input_.empty())) linger(now);
 }
 
 // Lingering close: closing a socket with unread bytes sends a reset, which may destroy the last reply in
 // transit. After a protocol error, further bytes are read and discarded. Otherwise a request that crosses the
-// close stays unread, as its reply could no longer be sent; the client may send it elsewhere.
+// close, or that stands behind too many errors, stays unread, as its reply could no longer be sent; the
+// client may send it elsewhere.
 void ClientConnection::linger(Ms now) {
   if (lingering_) return;
   lingering_ = true;
--- a/src/resp/client_connection_replies.cpp
+++ b/src/resp/client_connection_replies.cpp
@@ -14,7 +14,7 @@
 
 // Bytes of a streamed value that are accepted ahead of what the client reads.
 constexpr std::size_t kMaxValueAheadBytes = std::size_t{48} * 1024;
-constexpr std::size_t kMaxInvalidCommands = 8;  // per connection, before it is closed
+constexpr std::size_t kMaxConsecutiveErrors = 8;  // of one connection, before it is closed
 
 }  // namespace
 
@@ -106,12 +106,12 @@
 }
 
 // A client that sends only invalid commands would use CPU time that other clients need, so it is
-// disconnected.
+// disconnected. What it has sent behind them and has been read is still answered.
 void ClientConnection::send_error(Ms now, std::uint64_t sequence, std::string_view message) {
   std::string reply;
   append_error(reply, message);
-  if (++invalid_commands_ >= kMaxInvalidCommands) {
-    input_rejected_ = true;
+  if (++consecutive_errors_ >= kMaxConsecutiveErrors) {
+    input_ended_ = true;
     close_after_reply_ = true;
   }
   send_reply(now, sequence, reply);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -170,6 +170,36 @@
   EXPECT_FALSE(host.waiting(20));
 }
 
+// Guards against commands that are read and never answered: those behind the last error that a connection may
+// cause were dropped.
+TEST(Input, CommandsBehindTooManyInvalidOnesAreAnsweredBeforeTheClose) {
+  Listener host, discovery;
+  Program program(config(cached_list({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  std::string commands;
+  for (int i = 0; i < 8; ++i) commands += command({"NONE"});
+  client.send(commands + query(1) + command({"PING"}));
+  auto upstream = host.accept();
+  upstream.command();
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(client.reply(), "-ERR unknown command 'NONE'");
+  upstream.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  EXPECT_EQ(client.reply(), "+PONG");
+  EXPECT_TRUE(client.wait_for_close());
+}
+
+// Guards against a connection that is closed for errors that lie far apart: they were counted over its life.
+TEST(Input, InvalidCommandsBetweenValidOnesDoNotCloseTheConnection) {
+  Listener host, discovery;
+  Program program(config(cached_list({target("s-1", host.port())}), discovery.port()));
+  auto client = program.client();
+  for (int i = 0; i < 20; ++i) {
+    client.send(command({"NONE"}) + command({"PING"}));
+    EXPECT_EQ(client.reply(), "-ERR unknown command 'NONE'");
+    EXPECT_EQ(client.reply(), "+PONG");
+  }
+}
+
 TEST(Input, AFramingErrorClosesOnlyItsOwnConnection) {
   Listener host, discovery;
   Program program(config(cached_list({target("s-1", host.port())}), discovery.port()));
