Commands that wait for dispatch keep the names that they were written under

Cause: RespHandler parsed a command with the names in force when it left the buffer.

Change: at a reload each connection notes how far its input had arrived, read or not, and the names that applied up to there. A command that ends before that mark is parsed with those names, over several reloads, as a withdrawn class keeps its index and settings. Sixteen marks a connection at most.

A connection that still waits in the accept queue at the reload is parsed with the new names, as before.

--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -83,7 +83,7 @@
   std::optional<Ms> may_write(Ms now, engine::AttemptId attempt, bool begun) override;
   // resp::ClientConnectionCallbacks, resp::ReplySink
   resp::CommandResult on_command(Ms now, resp::ResponseHandle response, std::span<const resp::Item> words,
-                                 Ms waited) override;
+                                 const resp::CommandArrival& arrival) override;
   void on_reply_pending(std::uint64_t identity) override;
   void on_reply_flushed(std::uint64_t identity) override;
   void on_client_disconnected(Ms now, std::uint64_t request_id) override;
--- a/src/explore/world_peers.cpp
+++ b/src/explore/world_peers.cpp
@@ -28,8 +28,9 @@
 }
 
 resp::CommandResult World::on_command(Ms now, resp::ResponseHandle response,
-                                      std::span<const resp::Item> words, Ms waited) {
-  return gateway_->handler.on_command(now, response, words, waited);
+                                      std::span<const resp::Item> words,
+                                      const resp::CommandArrival& arrival) {
+  return gateway_->handler.on_command(now, response, words, arrival);
 }
 
 void World::on_reply_pending(std::uint64_t identity) { gateway_->handler.on_reply_pending(identity); }
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -209,8 +209,12 @@
 }
 
 resp::CommandResult ClientServer::on_command(Ms, ResponseHandle handle, std::span<const resp::Item> words,
-                                             Ms waited) {
-  return callbacks_.on_command(handle, words, waited);
+                                             const resp::CommandArrival& arrival) {
+  return callbacks_.on_command(handle, words, arrival);
+}
+
+void ClientServer::on_names_replaced(const std::shared_ptr<const resp::CommandNames>& names) {
+  for (const auto& [id, connection] : connections_) connection->on_names_replaced(names);
 }
 
 void ClientServer::on_client_disconnected(Ms, std::uint64_t request_id) {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -21,9 +21,8 @@
 class ClientServerCallbacks {
  public:
   virtual ~ClientServerCallbacks() = default;
-  // A command that was parsed; it arrived up to `waited` milliseconds ago.
   virtual resp::CommandResult on_command(ResponseHandle handle, std::span<const resp::Item> words,
-                                         Ms waited) = 0;
+                                         const resp::CommandArrival& arrival) = 0;
   virtual void on_client_disconnected(std::uint64_t request_id) = 0;
   virtual void on_client_writable(std::uint64_t request_id) = 0;
   // See resp::ClientConnectionCallbacks.
@@ -66,6 +65,9 @@
   void finish_value(Ms now, ResponseHandle handle) override;
   bool client_disconnected(ResponseHandle handle) override;
 
+  // See resp::ClientConnection.
+  void on_names_replaced(const std::shared_ptr<const resp::CommandNames>& names);
+
   // Stops accepting, except for connections that are already in the accept queue; connections close once all
   // their requests are answered.
   void shut_down();
@@ -84,7 +86,7 @@
   using ConnectionPtr = std::shared_ptr<resp::ClientConnection>;
 
   resp::CommandResult on_command(Ms now, ResponseHandle handle, std::span<const resp::Item> words,
-                                 Ms waited) override;
+                                 const resp::CommandArrival& arrival) override;
   void on_reply_pending(std::uint64_t identity) override { callbacks_.on_reply_pending(identity); }
   void on_reply_flushed(std::uint64_t identity) override { callbacks_.on_reply_flushed(identity); }
   void on_client_disconnected(Ms now, std::uint64_t request_id) override;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -113,8 +113,9 @@
 
 // ---- requests ----
 
-resp::CommandResult Gateway::on_command(ResponseHandle handle, std::span<const resp::Item> words, Ms waited) {
-  const auto result = command_handler_.on_command(clock_.now(), handle, words, waited);
+resp::CommandResult Gateway::on_command(ResponseHandle handle, std::span<const resp::Item> words,
+                                        const resp::CommandArrival& arrival) {
+  const auto result = command_handler_.on_command(clock_.now(), handle, words, arrival);
   arm_timer();
   return result;
 }
@@ -168,7 +169,7 @@
   if (config_.has_other_settings(config)) {
     apply_settings(config, numbered);
   } else {
-    command_handler_.set_names(config_.command_names());
+    replace_command_names();
   }
   if (config.discovery != config_.get().discovery) {
     config_.set_discovery(config);
@@ -179,17 +180,23 @@
   ++reloads_;
 }
 
-// Requests in flight keep their class number; later commands are parsed with the new names.
+// Requests in flight keep their class number; commands that arrive later are parsed with the new names.
 void Gateway::apply_settings(const Config& config, const settings::NumberedSettings& numbered) {
   config_.set_settings(config, numbered);
   policy_.update_settings(clock_.now(), config_.get().settings);
   engine_.update_settings(config_.get().settings);
   apply_limits();
-  command_handler_.set_names(config_.command_names());
+  replace_command_names();
   log_line("reloaded settings are in use", std::to_string(config.class_names.size()) + " classes, " +
                                                std::to_string(config.plan_names.size()) + " plans");
 }
 
+// Commands that wait unparsed are under way already, so they keep the names that they were written under.
+void Gateway::replace_command_names() {
+  clients_.on_names_replaced(command_handler_.names());
+  command_handler_.set_names(config_.command_names());
+}
+
 void Gateway::apply_limits() {
   const Config config = shares_limits_ ? with_half_limits(config_.get()) : config_.get();
   clients_.set_limits(client_limits(config));
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -60,7 +60,7 @@
  private:
   // ClientServerCallbacks
   resp::CommandResult on_command(ResponseHandle handle, std::span<const resp::Item> words,
-                                 Ms waited) override;
+                                 const resp::CommandArrival& arrival) override;
   void on_reply_pending(std::uint64_t identity) override { command_handler_.on_reply_pending(identity); }
   void on_reply_flushed(std::uint64_t identity) override { command_handler_.on_reply_flushed(identity); }
   void on_client_disconnected(std::uint64_t request_id) override {
@@ -103,6 +103,7 @@
   void set_draining(bool on) override;
 
   void apply_settings(const Config& config, const settings::NumberedSettings& numbered);
+  void replace_command_names();
   void apply_limits();
   void log_ignored_changes(const Config& config) const;
 
--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -139,7 +139,7 @@
 
 void ClientConnection::dispatch_command(Ms now, ResponseHandle handle) {
   const std::size_t errors_before = consecutive_errors_;
-  const CommandResult result = callbacks_.on_command(now, handle, input_.frame().items, input_.elapsed(now));
+  const CommandResult result = callbacks_.on_command(now, handle, input_.frame().items, input_.arrival(now));
   if (closed_) return;
   if (consecutive_errors_ == errors_before) consecutive_errors_ = 0;
   if (ReplySlot* slot = find_incomplete(handle.sequence)) {
@@ -149,6 +149,10 @@
   }
 }
 
+void ClientConnection::on_names_replaced(const std::shared_ptr<const CommandNames>& names) {
+  if (!closed_ && !input_rejected_) input_.on_names_replaced(names, stream_->unread_bytes());
+}
+
 void ClientConnection::reject_input(Ms now, ResponseHandle handle) {
   input_rejected_ = true;
   close_after_reply_ = true;
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -28,11 +28,10 @@
 class ClientConnectionCallbacks {
  public:
   virtual ~ClientConnectionCallbacks() = default;
-  // Handles a well-formed command. `words` are valid until the call returns. `elapsed_ms`: upper bound of the
-  // time since the command arrived, as it may not have been read at once. Its timeout counts from its
-  // arrival.
+  // Handles a well-formed command. `words` are valid until the call returns. The command may have waited
+  // since its `arrival`: its timeout counts from then, and it keeps the names that it was written under.
   virtual CommandResult on_command(Ms now, ResponseHandle handle, std::span<const Item> words,
-                                   Ms elapsed_ms) = 0;
+                                   const CommandArrival& arrival) = 0;
   // The reply to the request with this identity is complete but not fully written. `on_reply_flushed` follows
   // once it is written or the connection has closed.
   virtual void on_reply_pending(std::uint64_t identity) = 0;
@@ -91,6 +90,8 @@
   // Logical time of the last progress: larger is later.
   std::uint64_t last_used() const { return last_used_; }
 
+  // `names` no longer apply to commands that arrive from now on.
+  void on_names_replaced(const std::shared_ptr<const CommandNames>& names);
   // Closes after the next reply. An idle connection stays open, as a request may be in transit.
   void close_after_next_reply() { close_after_reply_ = true; }
   // Graceful shutdown: closes as soon as no reply is pending, even if the connection is idle.
--- a/src/resp/command_input.cpp
+++ b/src/resp/command_input.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t kMaxExemptBufferBytes = std::size_t{16} * 1024;
 // Per client, while its commands are not dispatched.
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{512} * 1024;
+// Reloads in succession that the waiting commands of one client are told apart by.
+constexpr std::size_t kMaxReplacedNames = 16;
 
 }  // namespace
 
@@ -29,7 +31,31 @@
   if (reader_.empty() && awaits_command) awaited_since_ = now;
   if (!more_available_) arrived_at_ = now;
   more_available_ = bytes == offered_bytes_;
+  count_received(bytes);
+}
+
+void CommandInput::count_received(std::size_t bytes) {
   reader_.commit(bytes);
+  received_bytes_ += bytes;
+}
+
+// A command belongs to the names under which it was complete. If no byte has arrived since the replacement
+// before, all that waits belongs to earlier names.
+void CommandInput::on_names_replaced(std::shared_ptr<const CommandNames> names, std::size_t unread_bytes) {
+  if (reader_.empty() && unread_bytes == 0) return;
+  const std::uint64_t end = received_bytes_ + unread_bytes;
+  if (!replaced_names_.empty() && replaced_names_.back().end == end) return;
+  if (replaced_names_.size() >= kMaxReplacedNames) {
+    replaced_names_.back().end = end;
+  } else {
+    replaced_names_.push_back({end, std::move(names)});
+  }
+}
+
+CommandArrival CommandInput::arrival(Ms now) {
+  const std::uint64_t command_end = received_bytes_ - reader_.remaining_bytes();
+  while (!replaced_names_.empty() && replaced_names_.front().end < command_end) replaced_names_.pop_front();
+  return {now - arrived_at_, replaced_names_.empty() ? nullptr : replaced_names_.front().names};
 }
 
 // Many incomplete large commands together would exceed the memory limit of the process.
--- a/src/resp/command_input.h
+++ b/src/resp/command_input.h
@@ -3,14 +3,26 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
 #include <span>
 
 #include "cometfold/admission_controller.h"
 #include "resp/client_totals.h"
+#include "resp/request_parser.h"
 #include "resp/resp_reader.h"
 
 namespace cometfold::resp {
 
+// When and under which names a command arrived.
+struct CommandArrival {
+  // Upper bound of the milliseconds since then.
+  Ms elapsed_ms = 0;
+  // The names that were in force when its last byte arrived; null: those in force now.
+  std::shared_ptr<const CommandNames> replaced_names = {};
+};
+
 class CommandInput {
  public:
   // `totals` must outlive this object.
@@ -23,7 +35,7 @@
   // wait for its next one starts with these bytes if none were buffered.
   void commit(Ms now, std::size_t bytes, bool awaits_command);
   // The same while no commands are dispatched; leaves all times unchanged.
-  void commit_ahead(std::size_t bytes) { reader_.commit(bytes); }
+  void commit_ahead(std::size_t bytes) { count_received(bytes); }
   // Reads the next command into `frame`. Also returns a protocol error if all clients together buffer too
   // much and this one has a large incomplete command.
   ReadResult next(Ms now);
@@ -42,13 +54,23 @@
   void set_arrival_bound(Ms earliest);
   // More has arrived than was read, so the next read returns bytes as old as the last one.
   void set_more_available() { more_available_ = true; }
-  // Milliseconds since the earliest time at which the last command may have arrived.
-  Ms elapsed(Ms now) const { return now - arrived_at_; }
+  // `names` are being replaced: they still apply to the commands that are buffered now, and to those among
+  // the `unread_bytes` that have arrived but have not been read.
+  void on_names_replaced(std::shared_ptr<const CommandNames> names, std::size_t unread_bytes);
+  // Of the command that `next` returned last.
+  CommandArrival arrival(Ms now);
   // Milliseconds that the next command has been awaited or incomplete.
   Ms command_awaited_for(Ms now) const { return now - awaited_since_; }
 
  private:
+  // Names that apply to commands that end within the first `end` bytes of the connection.
+  struct ReplacedNames {
+    std::uint64_t end = 0;
+    std::shared_ptr<const CommandNames> names;
+  };
+
   bool incomplete_command_too_large() const;
+  void count_received(std::size_t bytes);
 
   ClientTotals& totals_;
   RespReader reader_;
@@ -57,8 +79,10 @@
   Ms arrived_at_ = 0;            // earliest possible arrival of the bytes read last
   bool more_available_ = false;  // the next read continues bytes that arrived with the last one
   Ms awaited_since_;
-  std::size_t offered_bytes_ = 0;   // size of the space for the pending read
-  std::size_t buffered_bytes_ = 0;  // counted in the totals
+  std::size_t offered_bytes_ = 0;             // size of the space for the pending read
+  std::size_t buffered_bytes_ = 0;            // counted in the totals
+  std::uint64_t received_bytes_ = 0;          // since the connection was opened
+  std::deque<ReplacedNames> replaced_names_;  // by increasing `end`
 };
 
 }  // namespace cometfold::resp
--- a/src/resp/resp_handler.cpp
+++ b/src/resp/resp_handler.cpp
@@ -19,16 +19,16 @@
 }  // namespace
 
 RespHandler::RespHandler(engine::Engine& engine, ReplySink& replies, CommandNames names)
-    : engine_(engine), replies_(replies), names_(std::move(names)) {}
+    : engine_(engine), replies_(replies), names_(std::make_shared<const CommandNames>(std::move(names))) {}
 
 CommandResult RespHandler::on_command(Ms now, ResponseHandle handle, std::span<const Item> words,
-                                      Ms elapsed_ms) {
+                                      const CommandArrival& arrival) {
   if (words.empty()) {
     replies_.send_error(now, handle, "ERR empty command");
     return {};
   }
   const auto command = words[0].text;
-  if (is_request_command(command)) return on_request(now, handle, words, elapsed_ms);
+  if (is_request_command(command)) return on_request(now, handle, words, arrival);
   if (equals_ignoring_case(command, "PING")) {
     on_ping(now, handle, words);
     return {};
@@ -55,9 +55,10 @@
 }
 
 CommandResult RespHandler::on_request(Ms now, ResponseHandle handle, std::span<const Item> words,
-                                      Ms elapsed_ms) {
+                                      const CommandArrival& arrival) {
+  const CommandNames& names = arrival.replaced_names ? *arrival.replaced_names : *names_;
   ParsedRequest parsed;
-  if (const auto error = parse_request(words, names_, parsed)) {
+  if (const auto error = parse_request(words, names, parsed)) {
     replies_.send_error(now, handle, "ERR " + std::string(text_of(*error)));
     return {};
   }
@@ -65,7 +66,7 @@
     replies_.send_error(now, handle, kDuplicateIdentityError);
     return {};
   }
-  engine::IncomingRequest incoming{parsed.request, std::max(parsed.timeout_ms - elapsed_ms, 0.0),
+  engine::IncomingRequest incoming{parsed.request, std::max(parsed.timeout_ms - arrival.elapsed_ms, 0.0),
                                    parsed.identity, std::move(parsed.command)};
   RequestId request_id = 0;
   switch (engine_.accept(now, *this, handle, std::move(incoming), request_id)) {
--- a/src/resp/resp_handler.h
+++ b/src/resp/resp_handler.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string_view>
 #include <unordered_set>
@@ -37,8 +38,8 @@
   RespHandler(engine::Engine& engine, ReplySink& replies, CommandNames names);
 
   // Handles a command of a client. `CommandResult::request_id` is for `Engine::on_client_disconnected`.
-  // `elapsed_ms`: milliseconds of the client's timeout that have already passed.
-  CommandResult on_command(Ms now, ResponseHandle handle, std::span<const Item> words, Ms elapsed_ms = 0);
+  CommandResult on_command(Ms now, ResponseHandle handle, std::span<const Item> words,
+                           const CommandArrival& arrival);
   // Between these two calls the identity of an answered request stays in use, as its reply is not fully
   // written.
   void on_reply_pending(std::uint64_t identity) { unflushed_identities_.insert(identity); }
@@ -48,8 +49,10 @@
   bool ready() const { return ready_; }
   // While draining, PING is answered with an error, so that no new clients connect.
   void set_draining(bool draining) { draining_ = draining; }
-  // Applies to commands from now on.
-  void set_names(CommandNames names) { names_ = std::move(names); }
+  // Applies to commands that arrive from now on. Those that wait already keep the names from before:
+  // `ClientConnection::on_names_replaced` must be called for each connection first, with `names`.
+  void set_names(CommandNames names) { names_ = std::make_shared<const CommandNames>(std::move(names)); }
+  const std::shared_ptr<const CommandNames>& names() const { return names_; }
 
   void on_served(Ms now, ResponseHandle handle, std::string_view value) override;
   void on_rejected(Ms now, ResponseHandle handle, Ms retry_after) override;
@@ -64,12 +67,13 @@
   bool client_disconnected(ResponseHandle handle) override { return replies_.client_disconnected(handle); }
 
  private:
-  CommandResult on_request(Ms now, ResponseHandle handle, std::span<const Item> words, Ms elapsed_ms);
+  CommandResult on_request(Ms now, ResponseHandle handle, std::span<const Item> words,
+                           const CommandArrival& arrival);
   void on_ping(Ms now, ResponseHandle handle, std::span<const Item> words);
 
   engine::Engine& engine_;
   ReplySink& replies_;
-  CommandNames names_;
+  std::shared_ptr<const CommandNames> names_;
   bool ready_ = false;
   bool draining_ = false;
   std::unordered_set<std::uint64_t>
--- a/src/resp/resp_reader.h
+++ b/src/resp/resp_reader.h
@@ -69,9 +69,11 @@
   std::string_view take_streamed_chunk();
 
   // Nothing is buffered except the frame that `next` returned last.
-  bool empty() const { return begin_ + consumed_ == end_; }
+  bool empty() const { return remaining_bytes() == 0; }
+  // Bytes that are buffered behind the frame that `next` returned last.
+  std::size_t remaining_bytes() const { return end_ - begin_ - consumed_; }
   // The buffer has reached its limit; there is space again only after `next` has returned a frame.
-  bool full() const { return end_ - begin_ - consumed_ >= max_buffered_bytes(); }
+  bool full() const { return remaining_bytes() >= max_buffered_bytes(); }
   std::size_t buffer_capacity() const { return buffer_.size(); }
   // Valid only after `next` returned `kProtocolError`.
   ProtocolError error() const { return error_.value(); }
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -53,9 +53,11 @@
 
 // Records commands and does not answer them.
 struct RecordingCallbacks : ClientConnectionCallbacks {
-  CommandResult on_command(Ms, ResponseHandle handle, std::span<const Item>, Ms elapsed_ms) override {
+  CommandResult on_command(Ms, ResponseHandle handle, std::span<const Item>,
+                           const CommandArrival& arrival) override {
     sequences.push_back(handle.sequence);
-    elapsed.push_back(elapsed_ms);
+    elapsed.push_back(arrival.elapsed_ms);
+    replaced_names.push_back(arrival.replaced_names);
     return {sequences.size(), sequences.size(), true};
   }
   void on_reply_pending(std::uint64_t) override {}
@@ -64,6 +66,7 @@
   void on_closed(std::uint64_t) override {}
   std::vector<std::uint64_t> sequences;
   std::vector<Ms> elapsed;
+  std::vector<std::shared_ptr<const CommandNames>> replaced_names;
 };
 
 // Guards against evicting a connection whose buffered commands are not dispatched yet: more commands arrive
@@ -114,11 +117,43 @@
   }
 }
 
+// Guards against commands that change their class with a reload while they wait: each keeps the names that
+// were in force when its last byte arrived, over several reloads, and unread bytes have arrived too.
+TEST(ClientConnection, WaitingCommandsKeepTheNamesOfTheirArrival) {
+  RecordingCallbacks callbacks;
+  ClientTotals totals;
+  const auto connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
+  auto stream = std::make_unique<FakeStream>(*connection);
+  FakeStream& peer = *stream;
+  connection->start(std::move(stream));
+  const auto ping = emulators::command({"PING"});
+  const auto first = std::make_shared<const CommandNames>(), second = std::make_shared<const CommandNames>(),
+             third = std::make_shared<const CommandNames>();
+  std::string commands;
+  for (int i = 0; i < 66; ++i) commands += ping;
+  peer.arrive(1, commands);  // two of them wait
+  connection->on_names_replaced(first);
+  connection->on_names_replaced(second);  // nothing has arrived in between
+  peer.arrive(2, ping + ping.substr(0, 3));
+  peer.unread = ping.size() - 3;
+  connection->on_names_replaced(third);
+  peer.unread = 0;
+  peer.arrive(3, ping.substr(3) + ping);
+  for (const auto sequence : std::vector(callbacks.sequences))
+    connection->send_reply(4, sequence, "+PONG\r\n");
+  connection->on_posted(4);
+  ASSERT_EQ(callbacks.replaced_names.size(), 69u);
+  const std::vector waiting(callbacks.replaced_names.begin() + 63, callbacks.replaced_names.end());
+  const std::vector<std::shared_ptr<const CommandNames>> expected{nullptr, first, first,
+                                                                  third,   third, nullptr};
+  EXPECT_EQ(waiting, expected);
+}
+
 // Answers commands of two words immediately with a large reply.
 struct LargeReplyCallbacks : RecordingCallbacks {
   CommandResult on_command(Ms now, ResponseHandle handle, std::span<const Item> words,
-                           Ms elapsed_ms) override {
-    const CommandResult result = RecordingCallbacks::on_command(now, handle, words, elapsed_ms);
+                           const CommandArrival& arrival) override {
+    const CommandResult result = RecordingCallbacks::on_command(now, handle, words, arrival);
     if (words.size() == 1) return result;
     connection->send_reply(now, handle.sequence, "+" + std::string(60'000, 'a') + "\r\n");
     return {};
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -78,6 +78,37 @@
   EXPECT_FALSE(first.waiting(0));
 }
 
+// Guards against requests that lose their class: commands that a client wrote before SIGHUP, and that wait
+// behind 64 others, are parsed with the names of the new settings, without the class that has vanished.
+TEST(Reload, CommandsThatWaitBehindOthersKeepTheClassTheyWereWrittenFor) {
+  constexpr unsigned kWaiting = 3;
+  Listener host, discovery;
+  auto conf = config(list(7, true, {target("s-1", host.port())}), discovery.port());
+  Program program(conf);
+  auto client = program.client();
+  std::string commands = query(1);
+  for (int i = 0; i < 63; ++i) commands += command({"PING"});
+  for (unsigned n = 2; n < 2 + kWaiting; ++n) commands += n % 4 == 0 ? query(n) : submit("hold", n);
+  client.send(commands);
+  auto first = host.accept();
+  first.command();
+  auto& classes = conf["settings"].as_object()["lanes"].as_array();
+  classes.erase(classes.begin() + 1);
+  program.reload(boost::json::serialize(conf));
+  program.log_until("reloaded settings are in use");
+  first.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  for (int i = 0; i < 63; ++i) EXPECT_EQ(client.reply(), "+PONG");
+  std::vector<Peer> upstreams;
+  for (unsigned i = 0; i < kWaiting; ++i) {
+    upstreams.push_back(host.accept());
+    upstreams.back().send(served(upstreams.back().command().at(2)));
+  }
+  for (unsigned n = 2; n < 2 + kWaiting; ++n) EXPECT_EQ(client.reply(), id(n));
+  client.send(submit("hold", 50));  // written after the reload
+  EXPECT_EQ(client.reply(), "-ERR unknown class");
+}
+
 // A whole fleet restarts at once, and discovery rejects each call that exceeds its limit per second, counting
 // rejected calls too. Retries that are not spread out would exceed the limit again and again.
 TEST(Backoff, ARejectedFleetSpreadsOutAndGetsThrough) {
--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -99,7 +99,8 @@
 };
 
 struct RecordingCallbacks : resp::ClientConnectionCallbacks {
-  resp::CommandResult on_command(Ms, resp::ResponseHandle handle, std::span<const resp::Item>, Ms) override {
+  resp::CommandResult on_command(Ms, resp::ResponseHandle handle, std::span<const resp::Item>,
+                                 const resp::CommandArrival&) override {
     return {handle.sequence + 1, handle.sequence + 1, true};
   }
   void on_reply_pending(std::uint64_t) override {}
