A connection is in use until its replies have reached the client's system

Cause: close_rules.h knew replies only up to the write to the socket. A loopback socket takes 2.5 MB at once, so the idle timeout of 2.3 s ran while the client read. The next request then met a closed socket, and the reset drops what was unsent.

Change: ConnectionState has has_unacknowledged_bytes (SIOCOUTQ), and may_close counts a reply as delivered only without them, for every reason of the gateway's own: idle, silent, incomplete command, drain, eviction, after the last reply. What the client's system acknowledges is progress, so idle time, the 10 s of `stalled` and the 0.5 s of the lingering close count from there. The lingering close no longer ends after 0.5 s over bytes that are under way. A client that acknowledges nothing for 10 s is closed as stalled. Eviction of unused connections takes the oldest one that may be closed, not only the oldest one.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "net/log.h"
 #include "net/tcp_stream.h"
@@ -230,16 +231,16 @@
 // Clients that keep their connections open after a request can run out of descriptors on their own machine,
 // where this gateway does not see the failures. So only the most recently used idle connections are kept.
 void ClientServer::evict_excess_unused() {
-  ConnectionPtr oldest;
-  std::size_t unused_count = 0;
+  std::vector<ConnectionPtr> unused;
   for (const auto& [id, connection] : connections_) {
-    if (!connection->has_replied() || !connection->is_idle()) continue;
-    ++unused_count;
-    if (!oldest || connection->last_used() < oldest->last_used()) oldest = connection;
-  }
-  if (unused_count > max_unused_connections_ && may_evict(*oldest)) {
-    oldest->close(clock_.now(), resp::CloseReason::kEvicted);
+    if (connection->has_replied() && connection->is_idle()) unused.push_back(connection);
   }
+  if (unused.size() <= max_unused_connections_) return;
+  std::sort(unused.begin(), unused.end(),
+            [](const auto& one, const auto& other) { return one->last_used() < other->last_used(); });
+  const auto oldest = std::find_if(unused.begin(), unused.end(),
+                                   [this](const auto& connection) { return may_evict(*connection); });
+  if (oldest != unused.end()) (*oldest)->close(clock_.now(), resp::CloseReason::kEvicted);
 }
 
 // If only idle connections were evicted, silent ones, which have sent nothing or an incomplete command, could
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -1,7 +1,9 @@
 #include "net/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <chrono>
 #include <utility>
@@ -126,6 +128,20 @@
   return socket_.available(ignored);
 }
 
+// After a reset the kernel still counts what it will never send.
+bool TcpStream::is_broken() {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  const int result = ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return result != 0 || info.tcpi_state == TCP_CLOSE;
+}
+
+std::size_t TcpStream::unacknowledged_bytes() {
+  int bytes = 0;
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes <= 0) return 0;
+  return is_broken() ? 0 : static_cast<std::size_t>(bytes);
+}
+
 bool TcpStream::is_quiet() {
   error_code error;
   peek(error);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -27,6 +27,7 @@
   void await_peer_close() override;
   void post() override;
   std::size_t unread_bytes() override;
+  std::size_t unacknowledged_bytes() override;
   bool is_quiet() override;
   bool peer_closed() override;
   void send_pending_ack() override;
@@ -34,6 +35,7 @@
   void close() override;
 
  private:
+  bool is_broken();
   void on_connect_finished(bool connected);
   void await_kernel_memory();
   void await_readable();
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -71,6 +71,7 @@
   // more is read, and the connection is closed once the commands that were read have their replies.
   void send_error(Ms now, std::uint64_t sequence, std::string_view message);
 
+  // No reply is pending in this process, and no part of a command has arrived.
   bool is_idle() const {
     return replies_.empty() && replies_.output_empty() && input_.empty() && !lingering_;
   }
@@ -139,6 +140,8 @@
   // client_connection_closing.cpp: timeouts and closing
   bool is_reply_pending() const;
   bool close_if_allowed(Ms now, std::initializer_list<CloseReason> reasons);
+  void close_if_lingered(Ms now);
+  void note_acknowledgements(Ms now);
   void linger_if_done(Ms now);
   void linger(Ms now);
 
@@ -150,12 +153,14 @@
   ReplyQueue replies_;
   Ms last_progress_ = 0;
   std::uint64_t last_used_ = 0;
-  std::size_t consecutive_errors_ = 0;  // of commands that were not valid requests
+  std::size_t consecutive_errors_ = 0;    // of commands that were not valid requests
+  std::size_t unacknowledged_bytes_ = 0;  // when they were last looked at
 
   bool closed_ = false;
   bool read_pending_ = false;            // awaiting `on_read`
   bool write_blocked_ = false;           // awaiting `on_writable`
   bool write_failed_ = false;            // `on_posted` closes the connection
+  bool awaits_acknowledgement_ = false;  // written bytes may not have reached the client's system
   bool dispatching_ = false;             // replies are written after the batch of commands
   bool paused_ = false;                  // no commands are dispatched until the client reads replies
   bool resume_posted_ = false;           // `on_posted` resumes the dispatch of commands
--- a/src/resp/client_connection_closing.cpp
+++ b/src/resp/client_connection_closing.cpp
@@ -4,8 +4,7 @@
 namespace cometfold::resp {
 namespace {
 
-// Time after the last reply for the client to read it and close; a reset from this side could destroy that
-// reply.
+// Time for the client to close after the last reply has reached its system.
 constexpr Ms kLingerTimeoutMs = 500;
 
 }  // namespace
@@ -22,6 +21,7 @@
 ConnectionState ClientConnection::state(Ms now) const {
   return {.reply_pending = is_reply_pending(),
           .has_unread_bytes = stream_->unread_bytes() > 0,
+          .has_unacknowledged_bytes = awaits_acknowledgement_ && stream_->unacknowledged_bytes() > 0,
           .command_incomplete = !input_.empty(),
           .has_replied = replies_.has_replied(),
           .send_closed = lingering_,
@@ -56,13 +56,11 @@
 void ClientConnection::close_if_timed_out(Ms now) {
   if (closed_) return;
   if (paused_ && stream_->peer_closed()) return close(now, CloseReason::kClientClosed);
-  if (lingering_) {
-    if (now - last_progress_ > kLingerTimeoutMs) close(now, CloseReason::kAfterLastReply);
-    return;
-  }
-  if (!replies_.output_empty()) {
-    if (close_if_allowed(now, {CloseReason::kStalled})) return;
-  } else if (!is_reply_pending()) {
+  note_acknowledgements(now);
+  if (lingering_) return close_if_lingered(now);
+  const bool client_must_read = !replies_.output_empty() || (awaits_acknowledgement_ && replies_.empty());
+  if (client_must_read && close_if_allowed(now, {CloseReason::kStalled})) return;
+  if (!is_reply_pending()) {
     if (close_if_allowed(now, {CloseReason::kNoCommand, CloseReason::kIncompleteCommand, CloseReason::kIdle}))
       return;
     if (draining_) close_if_allowed(now, {CloseReason::kDrain});
@@ -70,6 +68,21 @@
   if (!closed_ && paused_) process_input(now);
 }
 
+void ClientConnection::close_if_lingered(Ms now) {
+  if (now - last_progress_ <= kLingerTimeoutMs) return;
+  close_if_allowed(now, {CloseReason::kAfterLastReply, CloseReason::kStalled});
+}
+
+// A socket takes far more bytes than a client has read. Until they have all reached the client's system, each
+// part that does is progress.
+void ClientConnection::note_acknowledgements(Ms now) {
+  if (!awaits_acknowledgement_) return;
+  const std::size_t bytes = stream_->unacknowledged_bytes();
+  if (bytes < unacknowledged_bytes_) touch(now);
+  unacknowledged_bytes_ = bytes;
+  awaits_acknowledgement_ = bytes > 0;
+}
+
 void ClientConnection::close(Ms now, CloseReason reason) {
   if (closed_) return;
   if (!may_close(reason, state(now))) {
@@ -106,6 +119,7 @@
   if (lingering_) return;
   lingering_ = true;
   last_progress_ = now;
+  awaits_acknowledgement_ = true;  // of the end of the stream
   stream_->shutdown_send();
   if (input_rejected_) {
     read();
--- a/src/resp/client_connection_replies.cpp
+++ b/src/resp/client_connection_replies.cpp
@@ -160,6 +160,7 @@
       return false;
     }
     replies_.mark_written(result.bytes);
+    awaits_acknowledgement_ = true;
     touch(now);
   }
   return true;
--- a/src/resp/close_rules.h
+++ b/src/resp/close_rules.h
@@ -38,20 +38,22 @@
 
 // The state of a connection that the rules depend on.
 struct ConnectionState {
-  bool reply_pending = false;       // a reply is not fully written, or a buffered command has none
-  bool has_unread_bytes = false;    // bytes have arrived but have not been read
-  bool command_incomplete = false;  // only part of a command has arrived
-  bool has_replied = false;         // at least one command has been answered
-  bool send_closed = false;         // the last reply is written and the send side is shut down
-  Ms inactive_ms = 0;               // milliseconds since the last progress
-  Ms command_awaited_ms = 0;        // milliseconds that the next command has been awaited or incomplete
+  bool reply_pending = false;             // a reply is not fully written, or a buffered command has none
+  bool has_unread_bytes = false;          // bytes have arrived but have not been read
+  bool has_unacknowledged_bytes = false;  // written bytes have not reached the client's system
+  bool command_incomplete = false;        // only part of a command has arrived
+  bool has_replied = false;               // at least one command has been answered
+  bool send_closed = false;               // the last reply is written and the send side is shut down
+  Ms inactive_ms = 0;                     // milliseconds since the last progress
+  Ms command_awaited_ms = 0;              // milliseconds that the next command has been awaited or incomplete
 };
 
-// A pending reply or unread bytes would be lost with the connection. In that state only the client's
-// disconnect or its failure to read justifies closing. Unread bytes do not prevent it once the send side is
-// shut down, as they could not be answered.
+// A pending reply, bytes that have not reached the client or unread bytes would be lost with the connection.
+// In that state only the client's disconnect or its failure to read justifies closing. Unread bytes do not
+// prevent it once the send side is shut down, as they could not be answered.
 inline bool may_close(CloseReason reason, const ConnectionState& state) {
-  const bool unused = !state.reply_pending && !state.has_unread_bytes;
+  const bool reply_delivered = !state.reply_pending && !state.has_unacknowledged_bytes;
+  const bool unused = reply_delivered && !state.has_unread_bytes;
   switch (reason) {
     case CloseReason::kClientClosed:
     case CloseReason::kWriteFailed:
@@ -68,7 +70,7 @@
       return unused && !state.command_incomplete && !state.send_closed &&
              state.inactive_ms >= kRecentActivityMs;
     case CloseReason::kAfterLastReply:
-      return state.send_closed && !state.reply_pending;
+      return state.send_closed && reply_delivered;
     case CloseReason::kEvicted:
       return unused;
   }
--- a/src/resp/stream.h
+++ b/src/resp/stream.h
@@ -56,6 +56,9 @@
   virtual void post() = 0;
   // Bytes that have arrived but have not been read.
   virtual std::size_t unread_bytes() = 0;
+  // Bytes that were written but that the peer's system has not acknowledged; the end of the stream counts as
+  // one. They are lost if the peer sends anything after `close`. 0 if the connection is broken.
+  virtual std::size_t unacknowledged_bytes() { return 0; }
   // There are no unread bytes, and the peer has not closed or disconnected.
   virtual bool is_quiet() = 0;
   // The peer has closed or disconnected, even if bytes that it sent before have not been read.
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -38,12 +38,15 @@
   void await_peer_close() override {}
   void post() override { ++posts; }
   std::size_t unread_bytes() override { return unread; }
+  std::size_t unacknowledged_bytes() override { return unacknowledged; }
   bool is_quiet() override { return true; }
   bool peer_closed() override { return false; }
   void shutdown_send() override {}
-  void close() override {}
+  void close() override { closed = true; }
   int posts = 0;
-  std::size_t unread = 0;  // bytes that have arrived but have not been read
+  bool closed = false;
+  std::size_t unread = 0;          // bytes that have arrived but have not been read
+  std::size_t unacknowledged = 0;  // written bytes that have not reached the client's system
 
  private:
   StreamCallbacks& callbacks_;
@@ -209,6 +212,11 @@
                              state.has_unread_bytes = true;
                            })))
         << int(reason);
+    EXPECT_FALSE(may_close(reason, with([&](auto& state) {
+                             satisfy(state);
+                             state.has_unacknowledged_bytes = true;
+                           })))
+        << int(reason);
     if (reason == CloseReason::kEvicted) continue;
     EXPECT_FALSE(may_close(reason, with([&](auto& state) {
                              satisfy(state);
@@ -236,6 +244,72 @@
   EXPECT_FALSE(may_close(CloseReason::kDrain, with([](auto& state) { state.command_incomplete = true; })));
 }
 
+// A connection with one command that has been answered with a reply of 1,000 bytes at time 0.
+struct AnsweredFixture {
+  RecordingCallbacks callbacks;
+  ClientTotals totals;
+  std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
+  FakeStream* peer;
+  AnsweredFixture() {
+    auto stream = std::make_unique<FakeStream>(*connection);
+    peer = stream.get();
+    connection->start(std::move(stream));
+    peer->arrive(0, emulators::command({"PING"}));
+    peer->unacknowledged = 1000;
+    connection->send_reply(0, 0, "+" + std::string(997, 'a') + "\r\n");
+  }
+  std::uint64_t closed(CloseReason reason) const {
+    return totals.closed_by_reason[static_cast<std::size_t>(reason)];
+  }
+};
+
+// Guards against an answer that is cut while its client reads it: the socket had taken all of it, and the
+// idle timeout counted from then.
+TEST(ClientConnection, IsNotIdleWhileItsReplyHasNotReachedTheClient) {
+  AnsweredFixture client;
+  for (Ms now = 100; now <= 9'000; now += 100) {
+    client.peer->unacknowledged = static_cast<std::size_t>(1000 - now / 10);
+    client.connection->close_if_timed_out(now);
+    client.connection->start_draining(now);
+    client.connection->close(now, CloseReason::kEvicted);
+    ASSERT_FALSE(client.peer->closed) << now;
+  }
+  client.peer->unacknowledged = 0;
+  client.connection->close_if_timed_out(9'100);
+  EXPECT_FALSE(client.peer->closed);
+  client.connection->close_if_timed_out(9'200);
+  EXPECT_TRUE(client.peer->closed);
+  EXPECT_EQ(client.closed(CloseReason::kDrain), 1u);
+}
+
+TEST(ClientConnection, IsClosedOnceItsClientHasReadNothingOfTheReplyForLong) {
+  AnsweredFixture client;
+  client.connection->close_if_timed_out(10'000);
+  EXPECT_FALSE(client.peer->closed);
+  client.connection->close_if_timed_out(10'100);
+  EXPECT_EQ(client.closed(CloseReason::kStalled), 1u);
+}
+
+// Guards against a lingering close that resets the connection while the last reply is still on its way.
+TEST(ClientConnection, LingersUntilTheLastReplyHasReachedTheClient) {
+  AnsweredFixture client;
+  client.connection->close_after_next_reply();
+  client.peer->arrive(10, emulators::command({"PING"}));
+  client.connection->send_reply(20, 1, "+PONG\r\n");
+  for (Ms now = 100; now <= 4'000; now += 100) {
+    client.peer->unacknowledged = static_cast<std::size_t>(1000 - now / 10);
+    client.connection->close_if_timed_out(now);
+    ASSERT_FALSE(client.peer->closed) << now;
+  }
+  client.peer->unacknowledged = 0;
+  client.connection->close_if_timed_out(4'100);
+  client.connection->close_if_timed_out(4'600);
+  EXPECT_FALSE(client.peer->closed);
+  client.connection->close_if_timed_out(4'700);
+  EXPECT_EQ(client.closed(CloseReason::kAfterLastReply), 1u);
+  EXPECT_EQ(client.totals.forbidden_closes, 0u);
+}
+
 // Guards against a timeout that starts too late: a short read leaves the rest of a command in the socket,
 // where it has been since that read.
 TEST(ClientConnection, CountsElapsedTimeOfBytesLeftByAShortRead) {
--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -229,6 +229,26 @@
   EXPECT_EQ(client.reply(), "short");
 }
 
+// Guards against a value that is cut while its client reads it: the socket has taken all of it, the client
+// has read nothing for longer than the idle timeout, and its next request makes a closed socket reset the
+// connection.
+TEST(StreamedValues, AClientThatReadsSlowlyGetsAllOfThemAndTheNextReply) {
+  ProgramFixture fixture;
+  auto client = fixture.program.client();
+  client.send(query(1));
+  auto upstream = fixture.host.accept();
+  upstream.command();
+  const auto value = random_bytes(kMebibyte);
+  upstream.send(served(value));
+  EXPECT_EQ(client.line(), "$" + std::to_string(value.size()));
+  std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(resp::kIdleTimeoutMs + 500));
+  client.send(query(2));
+  EXPECT_EQ(client.exactly(value.size() + 2), value + "\r\n");
+  EXPECT_EQ(upstream.command().at(2), id(2));
+  upstream.send(served("two"));
+  EXPECT_EQ(client.reply(), "two");
+}
+
 TEST(StreamedValues, AreNotBoundByTheTimeoutOnceStarted) {
   ProgramFixture fixture;
   auto client = fixture.program.client();
