HTTP/2: a connection that ends is shut down and read until its client closes

A close over unread bytes resets the connection and drops what is not at the client yet, at a drain or SIGTERM the last decisions.

Change: once the session is done, or has failed, the sending side is shut down and input is discarded until the client closes, or for 0.5 s after the end has reached its system, or for `answer_ms` if it never does.

SIGTERM with a proxy that does not close takes up to 0.75 s longer, within the shutdown deadline.

--- a/emulators/peer.h
+++ b/emulators/peer.h
@@ -116,6 +116,16 @@
     }
     return true;
   }
+  // The same; false if the connection was reset and not closed in order.
+  bool closes_in_order() {
+    char part[65536];
+    for (;;) {
+      if (!readable(fd_.get(), kWaitTimeoutMs))
+        throw PeerError("the connection was not closed before the timeout");
+      const auto n = ::recv(fd_.get(), part, sizeof part, 0);
+      if (n <= 0) return n == 0;
+    }
+  }
   // Waits until the other side has reset the connection.
   bool is_reset() {
     pollfd p{fd_.get(), 0, 0};
--- a/src/net/grpc_listener.cpp
+++ b/src/net/grpc_listener.cpp
@@ -20,6 +20,8 @@
 constexpr int kBacklog = 1024;
 constexpr auto kSweepInterval = std::chrono::milliseconds(250);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(5);
+// Time for the client to close after the end of the output has reached its system.
+constexpr Ms kLingerTimeoutMs = 500;
 
 }  // namespace
 
@@ -40,7 +42,7 @@
   void on_read(Ms now, std::size_t bytes, bool closed_by_peer) override {
     reading_ = false;
     if (closed_) return;
-    if (bytes > 0) {
+    if (bytes > 0 && !lingering_since_) {
       last_received_at_ = now;
       ping_sent_ = false;
       in_session_ = true;
@@ -67,6 +69,7 @@
   }
 
   void sweep(Ms now) {
+    if (lingering_since_) return close_if_lingered(now);
     calls_->sweep(now);
     const auto& limits = owner_.limits_;
     const Ms silence = now - last_received_at_;
@@ -82,8 +85,11 @@
     }
   }
 
-  void announce_drain() { calls_->session().announce_drain(); }
+  void announce_drain() {
+    if (!lingering_since_) calls_->session().announce_drain();
+  }
   void drain() {
+    if (lingering_since_) return;
     calls_->session().drain();
     flush();
   }
@@ -98,7 +104,7 @@
 
  private:
   void on_output() override {
-    if (in_session_ || flush_posted_ || blocked_ || closed_) return;
+    if (in_session_ || flush_posted_ || blocked_ || closed_ || lingering_since_) return;
     flush_posted_ = true;
     stream_->post();
   }
@@ -107,14 +113,15 @@
   }
 
   void read() {
-    if (closed_ || reading_ || !calls_->session().wants_input()) return;
+    if (closed_ || reading_) return;
+    if (!lingering_since_ && !calls_->session().wants_input()) return;
     reading_ = true;
     stream_->read(buffer_);
   }
 
   // Writing output may complete calls, which may produce more output.
   void flush() {
-    if (closed_ || blocked_ || in_session_) return;
+    if (closed_ || blocked_ || in_session_ || lingering_since_) return;
     in_session_ = true;
     auto& session = calls_->session();
     for (auto bytes = session.output(); !bytes.empty(); bytes = session.output()) {
@@ -132,10 +139,23 @@
       }
     }
     in_session_ = false;
-    if (!blocked_ && (session_failed_ || session.done())) return close();
+    if (!blocked_ && (session_failed_ || session.done())) linger();
     read();
   }
 
+  // Closing a socket with unread bytes sends a reset, which may destroy the last responses on their way. So
+  // the sending side is shut down, and further input is read and discarded until the client closes.
+  void linger() {
+    lingering_since_ = owner_.clock_.now();
+    calls_.reset();
+    stream_->shutdown_send();
+  }
+  void close_if_lingered(Ms now) {
+    const Ms lingered_for = now - *lingering_since_;
+    const bool is_delivered = stream_->unacknowledged_bytes() == 0;
+    if (lingered_for > (is_delivered ? kLingerTimeoutMs : owner_.limits_.response_timeout_ms)) close();
+  }
+
   GrpcListener& owner_;
   std::uint64_t id_;
   std::unique_ptr<resp::Stream> stream_;
@@ -149,7 +169,8 @@
   bool session_failed_ = false;
   bool ping_sent_ = false;
   bool closed_ = false;
-  std::optional<http2::grpc::Connection> calls_;  // none after `close`
+  std::optional<Ms> lingering_since_;             // the output is written and the send side is shut down
+  std::optional<http2::grpc::Connection> calls_;  // none after `linger` and `close`
 };
 
 GrpcListener::GrpcListener(asio::io_context& io, Clock& clock, http2::grpc::Methods& methods,
--- a/tests/processor_program_test.cpp
+++ b/tests/processor_program_test.cpp
@@ -364,6 +364,15 @@
   EXPECT_NE(program.child->log_until("external processor totals: asked").find("asked=5 "), std::string::npos);
 }
 
+// Guards against a close over unread bytes: it resets the connection, and what was written last may be lost.
+TEST(ProcessorProgram, AConnectionThatIsEndedBeforeAllWasReadIsNotReset) {
+  const SettingsFile file(extproc_settings());
+  Processor program(file);
+  auto noise = Peer::connect(program.port);
+  noise.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(200'000, 'x'));
+  EXPECT_TRUE(noise.closes_in_order());
+}
+
 TEST(ProcessorProgram, WithoutAnAddressThereIsNoListener) {
   const SettingsFile file("[extproc]\nrepeats = \"never\"\n");
   const auto conf = two_hosts();
