Test of the lingering close: the client pauses for longer than the timeout

Now the client's system acknowledges nothing for 2 s twice, and only the rule keeps the connection open.

--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -297,7 +297,7 @@
   client.peer->arrive(10, emulators::command({"PING"}));
   client.connection->send_reply(20, 1, "+PONG\r\n");
   for (Ms now = 100; now <= 4'000; now += 100) {
-    client.peer->unacknowledged = static_cast<std::size_t>(1000 - now / 10);
+    client.peer->unacknowledged = now < 2'000 ? 1000 : 500;  // pauses for longer than the linger timeout
     client.connection->close_if_timed_out(now);
     ASSERT_FALSE(client.peer->closed) << now;
   }
