A long value does not take the replies behind it along when its host fails

Cause: RESP2 can't end a bulk string early, so a value that breaks once it is begun ends its connection. Values were begun at their first bytes whatever waited behind them, and commands went on being read and run behind one. ClientConnection::close dropped their replies.

Change, options and costs in docs/design/0012: a value with replies behind it is held until it is whole, for 1.5 s, until 0.25 s before its request's deadline or until unsent replies fill half of their memory; if its host fails before, an error takes its place and the replies follow. Values with nothing behind them are passed on at once as before. From a value's first byte to its last, commands are left unread in the socket, so that a reset truly says that they were not run. At a break what precedes the value is written and acknowledged first (it was dropped from the output), then the connection is closed, counted as closed.value_aborted (so far write_failed, as if the client had gone). Commands left unread count their time from when the socket was last seen empty, not from the last read.

Other ends of a value come the same way and are mended with it: a reset, a host that stalls, a spoilt terminator, the deadline of a stop. Open: replies dispatched before a value that takes longer than its hold are still lost if it breaks afterwards.

With holding and the delivery before the close taken out (trial), OneWithRepliesBehindItIsReplacedByAnErrorIfItIsAborted, OneWithRepliesBehindItIsWrittenOnceItIsComplete, AHeldOneIsBegunInTime and RepliesBeforeAnAbortedOneAreDeliveredBeforeTheClose fail.

--- a/src/explore/simulated_stream.h
+++ b/src/explore/simulated_stream.h
@@ -72,6 +72,7 @@
   void read(std::span<char> buffer) override {
     connection_->read_buffer = buffer;
     connection_->reading = true;
+    connection_->awaits_close = false;
   }
   void await_peer_close() override {
     connection_->reading = false;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -90,6 +90,7 @@
 // would lose them.
 void TcpStream::read(std::span<char> buffer) {
   read_buffer_ = buffer;
+  awaiting_close_only_ = false;
   await_readable();
 }
 
--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -46,8 +46,8 @@
 
 // While a read is pending this only replaces its space, as parsing may have moved the buffer.
 void ClientConnection::read() {
-  if (closed_) return;
-  if (input_ended_) {
+  if (closed_ || value_aborted_ || (lingering_ && !input_rejected_)) return;
+  if (input_ended_ || replies_.streams_value()) {
     stream_->await_peer_close();
     return callbacks_.on_reads_paused();
   }
@@ -78,7 +78,8 @@
 
 // Bounds the memory for replies to clients that send commands without reading the replies.
 bool ClientConnection::must_pause() const {
-  return replies_.size() >= kMaxPendingCommands || replies_.unwritten_size() >= kMaxUnwrittenBytes ||
+  return replies_.streams_value() || replies_.size() >= kMaxPendingCommands ||
+         replies_.unwritten_size() >= kMaxUnwrittenBytes ||
          (totals_.unsent_bytes >= totals_.max_unsent_bytes && !replies_.output_empty());
 }
 
@@ -91,6 +92,7 @@
 
 void ClientConnection::on_posted(Ms now) {
   if (write_failed_) return close(now, CloseReason::kWriteFailed);
+  if (value_aborted_) return end_after_abort(now);
   if (std::exchange(capacity_notice_posted_, false)) notify_capacity(now);
   if (closed_) return;
   resume_posted_ = false;
@@ -104,7 +106,7 @@
 }
 
 void ClientConnection::process_input(Ms now) {
-  if (closed_ || lingering_) return;
+  if (closed_ || lingering_ || value_aborted_) return;
   // The buffered commands of a disconnected client must not be forwarded.
   if (paused_ && stream_->peer_closed()) return close(now, CloseReason::kClientClosed);
   // If all replies are written at once there is capacity again, and no later event would resume the commands
@@ -165,9 +167,11 @@
   if (closed_ || !(paused_ || input_ended_)) return;
   if (stream_->peer_closed()) {
     close(now, CloseReason::kClientClosed);
-  } else {
-    callbacks_.on_reads_paused();
+    return;
   }
+  // Bytes that arrive while the socket is not read are not older than the last look at it.
+  if (input_.empty() && stream_->unread_bytes() == 0) input_.set_arrival_bound(now);
+  callbacks_.on_reads_paused();
 }
 
 void ClientConnection::digest(engine::Digest& into) const {
@@ -176,7 +180,7 @@
            std::uint64_t{write_failed_} << 3 | std::uint64_t{paused_} << 4 |
            std::uint64_t{input_rejected_} << 5 | std::uint64_t{lingering_} << 6 |
            std::uint64_t{close_after_reply_} << 7 | std::uint64_t{resume_posted_} << 8 |
-           std::uint64_t{input_ended_} << 9);
+           std::uint64_t{input_ended_} << 9 | std::uint64_t{value_aborted_} << 10);
   replies_.digest(into);
 }
 
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -62,8 +62,9 @@
   void send_reply(Ms now, std::uint64_t sequence, std::string_view reply);
   // Streams a value of `size` bytes in chunks instead of `send_reply`. `append_value` returns false if the
   // bytes are accepted but no more are wanted until `ClientConnectionCallbacks::on_client_writable`.
+  // A value that is the next reply is held back for a while if other replies wait behind it.
   // `send_reply` before `finish_value` aborts the value: if part of it is in the output already, the
-  // connection is closed, so that the client notices.
+  // connection is closed once that is written, so that the client notices; replies behind it are lost.
   void start_value(Ms now, std::uint64_t sequence, std::size_t size);
   bool append_value(Ms now, std::uint64_t sequence, std::string_view bytes);
   void finish_value(Ms now, std::uint64_t sequence);
@@ -124,19 +125,26 @@
   bool must_pause() const;
   void resume_later();
 
-  // client_connection_replies.cpp: writing replies and streamed values
+  // client_connection_replies.cpp: writing replies
   ReplySlot* find_incomplete(std::uint64_t sequence);
   void append_output(Ms now, std::string_view bytes);
-  void append_to_reply(Ms now, std::uint64_t sequence, ReplySlot& slot, std::string_view bytes);
   void complete_first_reply(Ms now, const CommandResult& command, std::string_view bytes);
   void flush_complete_replies(Ms now);
   void hold_identity(const CommandResult& command);
   void release_flushed_identities();
-  void notify_capacity(Ms now);
   void fail_write();
   void write(Ms now);
   bool write_output(Ms now);
 
+  // client_connection_values.cpp: streamed values
+  void start_first_value(Ms now);
+  bool must_hold_value(Ms now) const;
+  void begin_value_if_due(Ms now);
+  std::size_t value_bytes_ahead(const ReplySlot& slot, bool is_first) const;
+  void notify_capacity(Ms now);
+  void abort_value(ReplySlot& slot);
+  void end_after_abort(Ms now);
+
   // client_connection_closing.cpp: timeouts and closing
   bool is_reply_pending() const;
   bool close_if_allowed(Ms now, std::initializer_list<CloseReason> reasons);
@@ -153,6 +161,7 @@
   ReplyQueue replies_;
   Ms last_progress_ = 0;
   std::uint64_t last_used_ = 0;
+  Ms value_held_until_ = 0;               // if the first reply is a streamed value that is not begun
   std::size_t consecutive_errors_ = 0;    // of commands that were not valid requests
   std::size_t unacknowledged_bytes_ = 0;  // when they were last looked at
 
@@ -160,6 +169,7 @@
   bool read_pending_ = false;            // awaiting `on_read`
   bool write_blocked_ = false;           // awaiting `on_writable`
   bool write_failed_ = false;            // `on_posted` closes the connection
+  bool value_aborted_ = false;           // closed once the output has reached the client's system
   bool awaits_acknowledgement_ = false;  // written bytes may not have reached the client's system
   bool dispatching_ = false;             // replies are written after the batch of commands
   bool paused_ = false;                  // no commands are dispatched until the client reads replies
--- a/src/resp/client_connection_closing.cpp
+++ b/src/resp/client_connection_closing.cpp
@@ -30,7 +30,8 @@
 }
 
 bool ClientConnection::is_reply_pending() const {
-  return !replies_.empty() || !replies_.output_empty() || (paused_ && !input_.empty());
+  const bool commands_wait = paused_ && !value_aborted_ && !input_.empty();
+  return !replies_.empty() || !replies_.output_empty() || commands_wait;
 }
 
 // Closes the connection for the first of these reasons that the rules allow. Returns whether it was closed.
@@ -58,6 +59,11 @@
   if (paused_ && stream_->peer_closed()) return close(now, CloseReason::kClientClosed);
   note_acknowledgements(now);
   if (lingering_) return close_if_lingered(now);
+  if (value_aborted_) {
+    close_if_allowed(now, {CloseReason::kValueAborted, CloseReason::kStalled});
+    return;
+  }
+  begin_value_if_due(now);
   const bool client_must_read = !replies_.output_empty() || (awaits_acknowledgement_ && replies_.empty());
   if (client_must_read && close_if_allowed(now, {CloseReason::kStalled})) return;
   if (!is_reply_pending()) {
--- a/src/resp/client_connection_replies.cpp
+++ b/src/resp/client_connection_replies.cpp
@@ -1,4 +1,4 @@
-// Writing of replies and streamed values to a client connection.
+// Writing of replies to a client connection.
 #include <string>
 #include <utility>
 
@@ -12,26 +12,19 @@
 
 namespace {
 
-// Bytes of a streamed value that are accepted ahead of what the client reads.
-constexpr std::size_t kMaxValueAheadBytes = std::size_t{48} * 1024;
 constexpr std::size_t kMaxConsecutiveErrors = 8;  // of one connection, before it is closed
 
 }  // namespace
 
 ReplySlot* ClientConnection::find_incomplete(std::uint64_t sequence) {
-  return closed_ ? nullptr : replies_.find_incomplete(sequence);
+  return closed_ || value_aborted_ ? nullptr : replies_.find_incomplete(sequence);
 }
 
 void ClientConnection::send_reply(Ms now, std::uint64_t sequence, std::string_view reply) {
   ReplySlot* slot = find_incomplete(sequence);
   if (!slot) return;
-  if (slot->streamed) {
-    if (replies_.is_first(sequence)) {
-      slot->command = {};
-      return fail_write();
-    }
-    replies_.clear_buffer(*slot);  // none of the value is in the output: the reply replaces it
-  }
+  if (slot->begun) return abort_value(*slot);
+  replies_.clear_buffer(*slot);  // of a streamed value that the reply replaces
   slot->complete = true;
   const CommandResult command = std::exchange(slot->command, CommandResult{});
   if (!replies_.is_first(sequence) && !mutant(Mutant::kRepliesOutOfOrder)) {
@@ -47,7 +40,7 @@
   flush_complete_replies(now);
   if (!dispatching_) write(now);
   if (!replies_.output_empty()) hold_identity(command);
-  if (paused_) resume_later();
+  if (paused_ && !replies_.streams_value()) resume_later();
 }
 
 void ClientConnection::append_output(Ms now, std::string_view bytes) {
@@ -57,52 +50,11 @@
 
 void ClientConnection::flush_complete_replies(Ms now) {
   const bool output_was_empty = replies_.output_empty();
-  const bool value_awaits_capacity = replies_.flush_complete();
+  replies_.flush_complete();
   if (output_was_empty && !replies_.output_empty()) touch(now);
-  if (value_awaits_capacity && !std::exchange(capacity_notice_posted_, true)) stream_->post();
-}
-
-void ClientConnection::append_to_reply(Ms now, std::uint64_t sequence, ReplySlot& slot,
-                                       std::string_view bytes) {
-  if (!replies_.is_first(sequence)) return replies_.buffer(slot, bytes);
-  append_output(now, bytes);
-  if (!dispatching_) write(now);
-}
-
-void ClientConnection::start_value(Ms now, std::uint64_t sequence, std::size_t size) {
-  ReplySlot* slot = find_incomplete(sequence);
-  if (!slot) return;
-  slot->streamed = true;
-  append_to_reply(now, sequence, *slot, "$" + std::to_string(size) + "\r\n");
-}
-
-bool ClientConnection::append_value(Ms now, std::uint64_t sequence, std::string_view bytes) {
-  ReplySlot* slot = find_incomplete(sequence);
-  if (!slot || write_failed_) return true;
-  append_to_reply(now, sequence, *slot, bytes);
-  const std::size_t ahead = replies_.is_first(sequence) ? replies_.unwritten_size() : slot->bytes.size();
-  slot->awaits_capacity = ahead >= kMaxValueAheadBytes;
-  return !slot->awaits_capacity;
-}
-
-void ClientConnection::finish_value(Ms now, std::uint64_t sequence) {
-  ReplySlot* slot = find_incomplete(sequence);
-  if (!slot || write_failed_) return;
-  const CommandResult command = std::exchange(slot->command, CommandResult{});
-  slot->complete = true;
-  slot->awaits_capacity = false;
-  if (!replies_.is_first(sequence)) {
-    replies_.buffer(*slot, "\r\n");
-    return hold_identity(command);
-  }
-  complete_first_reply(now, command, "\r\n");
-}
-
-void ClientConnection::notify_capacity(Ms now) {
-  if (closed_ || replies_.empty() || !replies_.first().awaits_capacity) return;
-  if (replies_.unwritten_size() >= kMaxValueAheadBytes / 2) return;
-  replies_.first().awaits_capacity = false;
-  callbacks_.on_client_writable(now, replies_.first().command.request_id);
+  if (!replies_.streams_value()) return;
+  start_first_value(now);
+  if (replies_.first().awaits_capacity && !std::exchange(capacity_notice_posted_, true)) stream_->post();
 }
 
 // A client that sends only invalid commands would use CPU time that other clients need, so it is
--- /dev/null
+++ b/src/resp/client_connection_values.cpp
@@ -0,0 +1,114 @@
+// Streamed values of a client connection: when a value is begun, and what happens if it can't be finished.
+// docs/design/0012-values-with-replies-behind.md gives the reasons.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "resp/client_connection.h"
+
+namespace cometfold::resp {
+namespace {
+
+// Bytes of a streamed value that are accepted ahead of what the client reads.
+constexpr std::size_t kMaxValueAheadBytes = std::size_t{48} * 1024;
+// A value is held for at most this time while replies wait behind it. Holding one back for 2 s would fail it.
+constexpr Ms kMaxValueHoldMs = 1'500;
+// A held value is begun this long before its request's deadline, as the end of the hold is noticed in sweeps.
+constexpr Ms kValueDeadlineMarginMs = 250;
+// Held values may use the memory for unsent replies divided by this.
+constexpr std::size_t kHeldMemoryDivisor = 2;
+
+}  // namespace
+
+void ClientConnection::start_value(Ms now, std::uint64_t sequence, std::size_t size) {
+  ReplySlot* slot = find_incomplete(sequence);
+  if (!slot) return;
+  slot->streamed = true;
+  replies_.buffer(*slot, "$" + std::to_string(size) + "\r\n");
+  if (replies_.is_first(sequence)) start_first_value(now);
+}
+
+// Further commands would be lost with the value if its host fails, so they are left unread until it is
+// complete.
+void ClientConnection::start_first_value(Ms now) {
+  const bool commands_wait = (paused_ || dispatching_) && !input_.empty();
+  const bool others_wait = replies_.size() > 1 || commands_wait;
+  const Ms deadline = replies_.first().command.expires_at - kValueDeadlineMarginMs;
+  value_held_until_ = others_wait ? std::min(now + kMaxValueHoldMs, deadline) : now;
+  paused_ = true;
+  input_.set_more_available();
+  read();
+  begin_value_if_due(now);
+}
+
+// If the value breaks once it is begun, the replies behind it are lost with the connection.
+bool ClientConnection::must_hold_value(Ms now) const {
+  const bool has_memory = totals_.unsent_bytes < totals_.max_unsent_bytes / kHeldMemoryDivisor;
+  return has_memory && now < value_held_until_;
+}
+
+void ClientConnection::begin_value_if_due(Ms now) {
+  if (!replies_.streams_value() || replies_.first().begun || must_hold_value(now)) return;
+  if (replies_.output_empty()) touch(now);
+  replies_.begin_value();
+  if (!dispatching_) write(now);
+}
+
+bool ClientConnection::append_value(Ms now, std::uint64_t sequence, std::string_view bytes) {
+  ReplySlot* slot = find_incomplete(sequence);
+  if (!slot || write_failed_) return true;
+  if (slot->begun) {
+    append_output(now, bytes);
+    if (!dispatching_) write(now);
+  } else {
+    replies_.buffer(*slot, bytes);
+    if (replies_.is_first(sequence)) begin_value_if_due(now);
+  }
+  slot->awaits_capacity = value_bytes_ahead(*slot, replies_.is_first(sequence)) >= kMaxValueAheadBytes;
+  return !slot->awaits_capacity;
+}
+
+// A held value is bounded by `must_hold_value` instead, as only its end lets it go on.
+std::size_t ClientConnection::value_bytes_ahead(const ReplySlot& slot, bool is_first) const {
+  if (slot.begun) return replies_.unwritten_size();
+  return is_first ? 0 : slot.bytes.size();
+}
+
+void ClientConnection::finish_value(Ms now, std::uint64_t sequence) {
+  ReplySlot* slot = find_incomplete(sequence);
+  if (!slot || write_failed_) return;
+  const CommandResult command = std::exchange(slot->command, CommandResult{});
+  slot->complete = true;
+  slot->awaits_capacity = false;
+  if (slot->begun) return complete_first_reply(now, command, "\r\n");
+  replies_.buffer(*slot, "\r\n");
+  if (!replies_.is_first(sequence)) return hold_identity(command);
+  complete_first_reply(now, command, {});
+}
+
+void ClientConnection::notify_capacity(Ms now) {
+  if (closed_ || replies_.empty() || !replies_.first().awaits_capacity) return;
+  if (replies_.first().begun && replies_.unwritten_size() >= kMaxValueAheadBytes / 2) return;
+  replies_.first().awaits_capacity = false;
+  callbacks_.on_client_writable(now, replies_.first().command.request_id);
+}
+
+// The rest happens in `on_posted`, as this may be called from inside the engine, which is not reentrant.
+void ClientConnection::abort_value(ReplySlot& slot) {
+  slot.command = {};
+  value_aborted_ = true;
+  stream_->post();
+}
+
+// What precedes the value is written out first: a close over unread bytes would reset the connection before
+// the client has it.
+void ClientConnection::end_after_abort(Ms now) {
+  const auto self = shared_from_this();
+  for (const ReplySlot& slot : replies_.take_slots()) {
+    if (slot.command.request_id != 0) callbacks_.on_client_disconnected(now, slot.command.request_id);
+  }
+  write(now);
+  if (!closed_) close_if_allowed(now, {CloseReason::kValueAborted});
+}
+
+}  // namespace cometfold::resp
--- a/src/resp/close_rules.h
+++ b/src/resp/close_rules.h
@@ -21,10 +21,12 @@
   kDrain,              // not in use while this gateway drains or stops
   kAfterLastReply,     // the last reply on it is written
   kEvicted,            // closed to free capacity for another connection
+  kValueAborted,       // a streamed value that was partly written can't be finished
 };
 // Exported as metric labels, in the order of `CloseReason`.
 inline constexpr std::string_view kCloseReasonNames[] = {
-    "client", "write_failed", "stalled", "silent", "half_command", "idle", "drain", "after_last", "no_room"};
+    "client", "write_failed", "stalled",    "silent",  "half_command",
+    "idle",   "drain",        "after_last", "no_room", "value_aborted"};
 inline constexpr std::size_t kCloseReasonCount = std::size(kCloseReasonNames);
 
 inline constexpr Ms kStalledTimeoutMs = 10'000;
@@ -50,7 +52,7 @@
 
 // A pending reply, bytes that have not reached the client or unread bytes would be lost with the connection.
 // In that state only the client's disconnect or its failure to read justifies closing. Unread bytes do not
-// prevent it once the send side is shut down, as they could not be answered.
+// prevent it once the send side is shut down or a value is aborted, as they could not be answered.
 inline bool may_close(CloseReason reason, const ConnectionState& state) {
   const bool reply_delivered = !state.reply_pending && !state.has_unacknowledged_bytes;
   const bool unused = reply_delivered && !state.has_unread_bytes;
@@ -73,6 +75,8 @@
       return state.send_closed && reply_delivered;
     case CloseReason::kEvicted:
       return unused;
+    case CloseReason::kValueAborted:
+      return reply_delivered;
   }
   return false;
 }
--- a/src/resp/reply_queue.cpp
+++ b/src/resp/reply_queue.cpp
@@ -39,16 +39,25 @@
   slot.bytes.clear();
 }
 
-bool ReplyQueue::flush_complete() {
-  while (!slots_.empty() && (slots_.front().complete || slots_.front().streamed)) {
-    ReplySlot& front = slots_.front();
-    total_unsent_bytes_ -= std::exchange(front.counted_bytes, 0);
-    if (!front.bytes.empty()) append_output(std::exchange(front.bytes, {}));
-    if (!front.complete) return front.awaits_capacity;
+void ReplyQueue::flush_complete() {
+  while (!slots_.empty() && slots_.front().complete) {
+    move_to_output(slots_.front());
     slots_.pop_front();
     ++first_sequence_;
   }
-  return false;
+}
+
+void ReplyQueue::begin_value() {
+  slots_.front().begun = true;
+  move_to_output(slots_.front());
+}
+
+void ReplyQueue::move_to_output(ReplySlot& slot) {
+  total_unsent_bytes_ -= std::exchange(slot.counted_bytes, 0);
+  if (slot.bytes.empty()) return;
+  if (!output_.empty()) return append_output(std::exchange(slot.bytes, {}));
+  output_ = std::exchange(slot.bytes, {});  // may be a whole streamed value, so it is not copied
+  total_unsent_bytes_ += output_.size();
 }
 
 void ReplyQueue::append_output(std::string_view bytes) {
@@ -71,20 +80,20 @@
   return std::exchange(unflushed_identities_, {});
 }
 
-void ReplyQueue::release_accounting() {
-  total_unsent_bytes_ -= output_.size();
+std::deque<ReplySlot> ReplyQueue::take_slots() {
   for (const ReplySlot& slot : slots_) total_unsent_bytes_ -= slot.counted_bytes;
+  first_sequence_ += slots_.size();
+  return std::exchange(slots_, {});
 }
 
-std::deque<ReplySlot> ReplyQueue::take_slots() { return std::exchange(slots_, {}); }
-
 void ReplyQueue::digest(engine::Digest& into) const {
   into.add(first_sequence_);
   into.add(unwritten());
   for (const auto identity : unflushed_identities_) into.add(identity);
   for (const ReplySlot& slot : slots_) {
-    into.add(slot.command.request_id << 3 | std::uint64_t{slot.complete} << 2 |
-             std::uint64_t{slot.streamed} << 1 | std::uint64_t{slot.awaits_capacity});
+    into.add(slot.command.request_id << 4 | std::uint64_t{slot.begun} << 3 |
+             std::uint64_t{slot.complete} << 2 | std::uint64_t{slot.streamed} << 1 |
+             std::uint64_t{slot.awaits_capacity});
     into.add(slot.bytes);
   }
 }
--- a/src/resp/reply_queue.h
+++ b/src/resp/reply_queue.h
@@ -5,10 +5,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "cometfold/admission_controller.h"
 #include "engine/digest.h"
 
 namespace cometfold::resp {
@@ -18,6 +20,7 @@
   std::uint64_t request_id = 0;  // for `on_client_disconnected` before the reply is complete; 0: none
   std::uint64_t identity = 0;    // the request's id on the wire, if it is a request
   bool is_request = false;       // it was accepted as a request
+  Ms expires_at = std::numeric_limits<Ms>::infinity();  // the client's deadline
 };
 
 // The entry of one command whose complete reply has not been moved to the output yet.
@@ -25,13 +28,14 @@
   CommandResult command;
   bool complete = false;
   bool streamed = false;          // a streamed value has started
+  bool begun = false;             // part of that value is in the output
   bool awaits_capacity = false;   // the sender of that value waits for `on_client_writable`
   std::size_t counted_bytes = 0;  // part of `bytes` that the total of unsent bytes includes
   std::string bytes;              // buffered while earlier replies are incomplete
 };
 
-// Commands are numbered from 0. Bytes of the first incomplete reply go to the output directly, bytes of later
-// ones are buffered in their slots.
+// Commands are numbered from 0. The first reply goes to the output once it is complete, or directly once it
+// is a streamed value that has been begun; later ones are buffered in their slots.
 class ReplyQueue {
  public:
   // `total_unsent_bytes`, over all connections, must outlive this object.
@@ -48,12 +52,17 @@
   ReplySlot& first() { return slots_.front(); }
   bool has_replied() const { return first_sequence_ > 0; }
   bool has_complete_slot() const;
+  // The first reply is a streamed value that is not complete.
+  bool streams_value() const {
+    return !slots_.empty() && slots_.front().streamed && !slots_.front().complete;
+  }
 
   void buffer(ReplySlot& slot, std::string_view bytes);
   void clear_buffer(ReplySlot& slot);
-  // Moves the complete replies at the front to the output, followed by the buffered part of a streamed value
-  // that is next. Returns true if the sender of that value waits for capacity.
-  bool flush_complete();
+  // Moves the complete replies at the front to the output.
+  void flush_complete();
+  // Moves what is buffered of the first reply, a streamed value, to the output.
+  void begin_value();
 
   void append_output(std::string_view bytes);
   bool output_empty() const { return output_.empty(); }
@@ -67,14 +76,17 @@
   void hold_identity(std::uint64_t identity) { unflushed_identities_.push_back(identity); }
   std::vector<std::uint64_t> take_unflushed_identities();
 
-  // Called when the connection is closed: its bytes no longer count as unsent.
-  void release_accounting();
+  // Called when the connection is closed: its output no longer counts as unsent.
+  void release_accounting() { total_unsent_bytes_ -= output_.size(); }
+  // Removes the slots of all commands. Their buffered bytes no longer count as unsent.
   std::deque<ReplySlot> take_slots();
 
   // Adds the state of this queue to the connection's digest.
   void digest(engine::Digest& into) const;
 
  private:
+  void move_to_output(ReplySlot& slot);
+
   std::size_t& total_unsent_bytes_;
   std::deque<ReplySlot> slots_;
   std::uint64_t first_sequence_ = 0;  // of the first slot
--- a/src/resp/resp_handler.cpp
+++ b/src/resp/resp_handler.cpp
@@ -66,12 +66,12 @@
     replies_.send_error(now, handle, kDuplicateIdentityError);
     return {};
   }
-  engine::IncomingRequest incoming{parsed.request, std::max(parsed.timeout_ms - arrival.elapsed_ms, 0.0),
-                                   parsed.identity, std::move(parsed.command)};
+  const Ms timeout_ms = std::max(parsed.timeout_ms - arrival.elapsed_ms, 0.0);
+  engine::IncomingRequest incoming{parsed.request, timeout_ms, parsed.identity, std::move(parsed.command)};
   RequestId request_id = 0;
   switch (engine_.accept(now, *this, handle, std::move(incoming), request_id)) {
     case engine::AcceptResult::kAccepted:
-      return {request_id, parsed.identity, true};
+      return {request_id, parsed.identity, true, now + timeout_ms};
     case engine::AcceptResult::kDuplicateIdentity:
       replies_.send_error(now, handle, kDuplicateIdentityError);
       return {};
--- a/src/resp/stream.h
+++ b/src/resp/stream.h
@@ -50,7 +50,8 @@
   // replaces the space. Bytes are taken from the socket only in the event that reports them: bytes that have
   // arrived and are not reported yet are counted by `unread_bytes`.
   virtual void read(std::span<char> space) = 0;
-  // Stops reading and drops a pending `read`: `on_read` then only reports that the peer has closed.
+  // Drops a pending `read`: until the next one, bytes stay unread and `on_read` only reports that the peer
+  // has closed. It may not be noticed behind unread bytes: see `peer_closed`.
   virtual void await_peer_close() = 0;
   // `StreamCallbacks::on_posted` follows, from the event loop.
   virtual void post() = 0;
--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -1,5 +1,7 @@
 // Values above 64 KiB are streamed: forwarded in chunks as they arrive, at the speed of the slower side.
+#include <limits>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net_support.h"
@@ -101,7 +103,7 @@
 struct RecordingCallbacks : resp::ClientConnectionCallbacks {
   resp::CommandResult on_command(Ms, resp::ResponseHandle handle, std::span<const resp::Item>,
                                  const resp::CommandArrival&) override {
-    return {handle.sequence + 1, handle.sequence + 1, true};
+    return {handle.sequence + 1, handle.sequence + 1, true, deadline};
   }
   void on_reply_pending(std::uint64_t) override {}
   void on_reply_flushed(std::uint64_t) override {}
@@ -109,6 +111,7 @@
   void on_closed(std::uint64_t) override {}
   void on_client_writable(Ms, std::uint64_t request_id) override { writable.push_back(request_id); }
   std::vector<std::uint64_t> disconnected, writable;
+  Ms deadline = 0;  // of each request
 };
 
 struct SingleClientFixture {
@@ -117,7 +120,8 @@
   std::shared_ptr<resp::ClientConnection> connection =
       std::make_shared<resp::ClientConnection>(callbacks, totals, 1, 0);
   LimitedStream* stream;
-  explicit SingleClientFixture(int commands) {
+  explicit SingleClientFixture(int commands, Ms deadline = std::numeric_limits<Ms>::infinity()) {
+    callbacks.deadline = deadline;
     class ReadableStream : public LimitedStream {
      public:
       void read(std::span<char> offered) override { space = offered; }
@@ -199,6 +203,82 @@
   EXPECT_EQ(buffered.totals.unsent_bytes, 0u);
 }
 
+// Guards against replies that are lost with the value before them: it is held while they wait, and an error
+// takes its place if it can't be finished.
+TEST(StreamedValues, OneWithRepliesBehindItIsReplacedByAnErrorIfItIsAborted) {
+  SingleClientFixture client(2);
+  client.stream->capacity = kMebibyte;
+  client.connection->start_value(1, 0, 100'000);
+  while (client.connection->append_value(1, 0, random_bytes(10'000)) && client.totals.unsent_bytes < 90'000) {
+  }
+  EXPECT_GE(client.totals.unsent_bytes, 90'000u);  // held as a whole, not paused
+  client.connection->send_reply(2, 1, "+second\r\n");
+  EXPECT_TRUE(client.stream->written.empty());
+  client.connection->send_reply(3, 0, "-ERR failed\r\n");
+  EXPECT_EQ(client.stream->written, "-ERR failed\r\n+second\r\n");
+  EXPECT_EQ(client.totals.unsent_bytes, 0u);
+  EXPECT_FALSE(client.stream->closed);
+}
+
+TEST(StreamedValues, OneWithRepliesBehindItIsWrittenOnceItIsComplete) {
+  SingleClientFixture client(2);
+  client.stream->capacity = kMebibyte;
+  const auto value = random_bytes(70'000);
+  client.connection->start_value(1, 0, value.size());
+  client.connection->send_reply(1, 1, "+second\r\n");
+  EXPECT_TRUE(client.connection->append_value(1, 0, value));
+  EXPECT_TRUE(client.stream->written.empty());
+  client.connection->finish_value(2, 0);
+  EXPECT_EQ(client.stream->written, "$70000\r\n" + value + "\r\n+second\r\n");
+}
+
+// Guards against values that are lost by being held back: for 2 s, beyond the request's deadline, or beyond
+// the memory for replies.
+TEST(StreamedValues, AHeldOneIsBegunInTime) {
+  SingleClientFixture slow(2);
+  slow.stream->capacity = kMebibyte;
+  slow.connection->start_value(1, 0, 100'000);
+  slow.connection->close_if_timed_out(1'500);
+  EXPECT_TRUE(slow.stream->written.empty());
+  slow.connection->close_if_timed_out(1'600);
+  EXPECT_EQ(slow.stream->written, "$100000\r\n");
+
+  SingleClientFixture urgent(2, 1'000);
+  urgent.stream->capacity = kMebibyte;
+  urgent.connection->start_value(1, 0, 100'000);
+  urgent.connection->close_if_timed_out(700);
+  EXPECT_TRUE(urgent.stream->written.empty());
+  urgent.connection->close_if_timed_out(800);
+  EXPECT_EQ(urgent.stream->written, "$100000\r\n");
+
+  SingleClientFixture scarce(2);
+  scarce.totals.max_unsent_bytes = 100'000;
+  scarce.stream->capacity = kMebibyte;
+  scarce.connection->start_value(1, 0, 100'000);
+  scarce.connection->append_value(1, 0, random_bytes(49'000));
+  EXPECT_TRUE(scarce.stream->written.empty());
+  scarce.connection->append_value(1, 0, random_bytes(1'000));
+  EXPECT_EQ(scarce.stream->written.size(), 9 + 50'000u);
+}
+
+// Guards against replies that are cut because a later value breaks while their client reads them.
+TEST(StreamedValues, RepliesBeforeAnAbortedOneAreDeliveredBeforeTheClose) {
+  SingleClientFixture client(2);
+  const std::string first = "+" + std::string(5'000, 'a') + "\r\n";
+  client.stream->capacity = 1'000;
+  client.connection->send_reply(1, 0, first);
+  client.connection->start_value(1, 1, 100'000);
+  client.connection->send_reply(2, 1, "-ERR failed\r\n");
+  client.connection->on_posted(2);
+  EXPECT_FALSE(client.stream->closed);
+  client.stream->capacity = kMebibyte;
+  client.connection->on_writable(3, true);
+  client.connection->close_if_timed_out(100);
+  EXPECT_EQ(client.stream->written, first + "$100000\r\n");
+  EXPECT_TRUE(client.stream->closed);
+  EXPECT_EQ(client.totals.closed_by_reason[static_cast<std::size_t>(resp::CloseReason::kValueAborted)], 1u);
+}
+
 // ---- the program ----
 
 struct ProgramFixture {
@@ -278,6 +358,52 @@
   EXPECT_EQ(other.reply(), "+PONG");
 }
 
+// Guards against requests that have run and are never answered, as a host crashes in the value before them.
+TEST(StreamedValues, AHostThatResetsFailsNoRequestBehindItsValue) {
+  ProgramFixture fixture;
+  auto client = fixture.program.client();
+  client.send(query(1) + query(2) + command({"PING"}));
+  auto one = fixture.host.accept(), two = fixture.host.accept();
+  if (one.command().at(2) != id(1)) std::swap(one, two);
+  one.send(served(random_bytes(200'000)).substr(0, 100'000));
+  two.send(served("two"));
+  wait_for_connection_rest();
+  one.reset();
+  EXPECT_EQ(client.reply(), "-ERR failed");
+  EXPECT_EQ(client.reply(), "two");
+  EXPECT_EQ(client.reply(), "+PONG");
+}
+
+// Guards against requests that are read although their replies depend on a value that may break: they stay
+// unread, and the reset tells their client so.
+TEST(StreamedValues, CommandsBehindOneThatIsPassedOnStayUnreadUntilItsEnd) {
+  ProgramFixture fixture;
+  auto client = fixture.program.client(), unlucky = fixture.program.client();
+  const auto value = random_bytes(200'000);
+  client.send(query(1));
+  auto upstream = fixture.host.accept();
+  upstream.command();
+  upstream.send(served(value).substr(0, 100'000));
+  EXPECT_EQ(client.line(), "$200000");
+  client.send(query(2));
+  unlucky.send(query(3));
+  auto other = fixture.host.accept();
+  EXPECT_EQ(other.command().at(2), id(3));
+  other.send(served(value).substr(0, 100'000));
+  EXPECT_EQ(unlucky.line(), "$200000");
+  unlucky.send(query(4));
+  EXPECT_FALSE(fixture.host.waiting(50));
+  upstream.send(served(value).substr(100'000));
+  EXPECT_EQ(client.exactly(value.size() + 2), value + "\r\n");
+  auto next = fixture.host.accept();
+  EXPECT_EQ(next.command().at(2), id(2));
+  next.send(served("two"));
+  EXPECT_EQ(client.reply(), "two");
+  other.reset();
+  EXPECT_FALSE(unlucky.closes_in_order());
+  EXPECT_FALSE(fixture.host.waiting(50));
+}
+
 TEST(StreamedValues, OneWithoutItsTerminatorClosesBothConnections) {
   ProgramFixture fixture;
   auto client = fixture.program.client();
