Only connections whose reads are paused are polled for a disconnect

While a long value is passed on its connection is paused, so the poll of every 20 ms runs more often than before, and it copied the table of all connections each time. Now it collects those that are paused.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -281,8 +281,11 @@
   disconnect_check_timer_.async_wait([this](error_code cancelled) {
     if (cancelled) return;
     disconnect_check_scheduled_ = false;
-    const auto connections = connections_;  // a copy, as a check may close some
-    for (const auto& [id, connection] : connections) connection->check_disconnected(clock_.now());
+    std::vector<ConnectionPtr> paused;  // apart, as a check may close some
+    for (const auto& [id, connection] : connections_) {
+      if (connection->reads_paused()) paused.push_back(connection);
+    }
+    for (const auto& connection : paused) connection->check_disconnected(clock_.now());
   });
 }
 
--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -164,7 +164,7 @@
 }
 
 void ClientConnection::check_disconnected(Ms now) {
-  if (closed_ || !(paused_ || input_ended_)) return;
+  if (closed_ || !reads_paused()) return;
   if (stream_->peer_closed()) {
     close(now, CloseReason::kClientClosed);
     return;
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -101,6 +101,8 @@
   // Closes the connection if it has timed out: no command, an incomplete command, no further command, or a
   // client that does not read its replies. Must be called a few times per second.
   void close_if_timed_out(Ms now);
+  // A disconnect of the client would go unnoticed but for `check_disconnected`.
+  bool reads_paused() const { return paused_ || input_ended_; }
   // Closes the connection if the client has disconnected while reads are paused.
   void check_disconnected(Ms now);
   // Does nothing if `may_close` forbids it, except to count that in `ClientTotals::forbidden_closes`.
