--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -58,7 +58,8 @@
   void set_arrival_bound(Ms earliest) { input_.set_arrival_bound(earliest); }
 
   // `reply` is one complete RESP value. Does nothing if the command already has its complete reply. The only
-  // callbacks to the owner from inside this call are `on_reply_pending` and `on_reply_flushed`.
+  // callbacks to the owner from inside this call, and from those for streamed values, are `on_reply_pending`,
+  // `on_reply_flushed` and `on_reads_paused`.
   void send_reply(Ms now, std::uint64_t sequence, std::string_view reply);
   // Streams a value of `size` bytes in chunks instead of `send_reply`. `append_value` returns false if the
   // bytes are accepted but no more are wanted until `ClientConnectionCallbacks::on_client_writable`.
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -72,30 +72,41 @@
   std::vector<std::shared_ptr<const CommandNames>> replaced_names;
 };
 
+// A connection and its stream.
+struct ConnectionFixture {
+  RecordingCallbacks callbacks;
+  ClientTotals totals;
+  std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
+  FakeStream* peer;
+  ConnectionFixture() {
+    auto stream = std::make_unique<FakeStream>(*connection);
+    peer = stream.get();
+    connection->start(std::move(stream));
+  }
+  std::uint64_t closed(CloseReason reason) const {
+    return totals.closed_by_reason[static_cast<std::size_t>(reason)];
+  }
+};
+
 // Guards against evicting a connection whose buffered commands are not dispatched yet: more commands arrive
 // than may be pending, and all pending ones are answered in one event, so that no reply is pending until the
 // next event.
 TEST(ClientConnection, IsNotEvictedWhileBufferedCommandsWait) {
-  RecordingCallbacks callbacks;
-  ClientTotals totals;
-  const auto connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
-  auto stream = std::make_unique<FakeStream>(*connection);
-  FakeStream& peer = *stream;
-  connection->start(std::move(stream));
+  ConnectionFixture client;
   std::string commands;
   for (int i = 0; i < 70; ++i) commands += emulators::command({"PING"});
-  peer.arrive(1, commands);
-  ASSERT_EQ(callbacks.sequences.size(), 64u);
-  for (const auto sequence : std::vector(callbacks.sequences))
-    connection->send_reply(2, sequence, "+PONG\r\n");
-  ASSERT_EQ(callbacks.sequences.size(), 64u);  // the rest is dispatched in the next event
-  EXPECT_EQ(connection->eviction_priority(), 0);
-  connection->on_posted(2);
-  EXPECT_EQ(callbacks.sequences.size(), 70u);
-  EXPECT_EQ(totals.forbidden_closes, 0u);
-  connection->close(3, CloseReason::kEvicted);
-  EXPECT_EQ(totals.forbidden_closes, 1u);  // forbidden, and counted
-  EXPECT_EQ(totals.closed_by_reason[static_cast<std::size_t>(CloseReason::kEvicted)], 0u);
+  client.peer->arrive(1, commands);
+  ASSERT_EQ(client.callbacks.sequences.size(), 64u);
+  for (const auto sequence : std::vector(client.callbacks.sequences))
+    client.connection->send_reply(2, sequence, "+PONG\r\n");
+  ASSERT_EQ(client.callbacks.sequences.size(), 64u);  // the rest is dispatched in the next event
+  EXPECT_EQ(client.connection->eviction_priority(), 0);
+  client.connection->on_posted(2);
+  EXPECT_EQ(client.callbacks.sequences.size(), 70u);
+  EXPECT_EQ(client.totals.forbidden_closes, 0u);
+  client.connection->close(3, CloseReason::kEvicted);
+  EXPECT_EQ(client.totals.forbidden_closes, 1u);  // forbidden, and counted
+  EXPECT_EQ(client.totals.closed_by_reason[static_cast<std::size_t>(CloseReason::kEvicted)], 0u);
 }
 
 // Commands of a paused client are read ahead, up to the limits per connection and over all connections.
@@ -123,30 +134,26 @@
 // Guards against commands that change their class with a reload while they wait: each keeps the names that
 // were in force when its last byte arrived, over several reloads, and unread bytes have arrived too.
 TEST(ClientConnection, WaitingCommandsKeepTheNamesOfTheirArrival) {
-  RecordingCallbacks callbacks;
-  ClientTotals totals;
-  const auto connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
-  auto stream = std::make_unique<FakeStream>(*connection);
-  FakeStream& peer = *stream;
-  connection->start(std::move(stream));
+  ConnectionFixture client;
   const auto ping = emulators::command({"PING"});
   const auto first = std::make_shared<const CommandNames>(), second = std::make_shared<const CommandNames>(),
              third = std::make_shared<const CommandNames>();
   std::string commands;
   for (int i = 0; i < 66; ++i) commands += ping;
-  peer.arrive(1, commands);  // two of them wait
-  connection->on_names_replaced(first);
-  connection->on_names_replaced(second);  // nothing has arrived in between
-  peer.arrive(2, ping + ping.substr(0, 3));
-  peer.unread = ping.size() - 3;
-  connection->on_names_replaced(third);
-  peer.unread = 0;
-  peer.arrive(3, ping.substr(3) + ping);
-  for (const auto sequence : std::vector(callbacks.sequences))
-    connection->send_reply(4, sequence, "+PONG\r\n");
-  connection->on_posted(4);
-  ASSERT_EQ(callbacks.replaced_names.size(), 69u);
-  const std::vector waiting(callbacks.replaced_names.begin() + 63, callbacks.replaced_names.end());
+  client.peer->arrive(1, commands);  // two of them wait
+  client.connection->on_names_replaced(first);
+  client.connection->on_names_replaced(second);  // nothing has arrived in between
+  client.peer->arrive(2, ping + ping.substr(0, 3));
+  client.peer->unread = ping.size() - 3;
+  client.connection->on_names_replaced(third);
+  client.peer->unread = 0;
+  client.peer->arrive(3, ping.substr(3) + ping);
+  for (const auto sequence : std::vector(client.callbacks.sequences))
+    client.connection->send_reply(4, sequence, "+PONG\r\n");
+  client.connection->on_posted(4);
+  ASSERT_EQ(client.callbacks.replaced_names.size(), 69u);
+  const std::vector waiting(client.callbacks.replaced_names.begin() + 63,
+                            client.callbacks.replaced_names.end());
   const std::vector<std::shared_ptr<const CommandNames>> expected{nullptr, first, first,
                                                                   third,   third, nullptr};
   EXPECT_EQ(waiting, expected);
@@ -244,23 +251,13 @@
   EXPECT_FALSE(may_close(CloseReason::kDrain, with([](auto& state) { state.command_incomplete = true; })));
 }
 
-// A connection with one command that has been answered with a reply of 1,000 bytes at time 0.
-struct AnsweredFixture {
-  RecordingCallbacks callbacks;
-  ClientTotals totals;
-  std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
-  FakeStream* peer;
+// One command has been answered with a reply of 1,000 bytes at time 0.
+struct AnsweredFixture : ConnectionFixture {
   AnsweredFixture() {
-    auto stream = std::make_unique<FakeStream>(*connection);
-    peer = stream.get();
-    connection->start(std::move(stream));
     peer->arrive(0, emulators::command({"PING"}));
     peer->unacknowledged = 1000;
     connection->send_reply(0, 0, "+" + std::string(997, 'a') + "\r\n");
   }
-  std::uint64_t closed(CloseReason reason) const {
-    return totals.closed_by_reason[static_cast<std::size_t>(reason)];
-  }
 };
 
 // Guards against an answer that is cut while its client reads it: the socket had taken all of it, and the
@@ -313,24 +310,19 @@
 // Guards against a timeout that starts too late: a short read leaves the rest of a command in the socket,
 // where it has been since that read.
 TEST(ClientConnection, CountsElapsedTimeOfBytesLeftByAShortRead) {
-  RecordingCallbacks callbacks;
-  ClientTotals totals;
-  const auto connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
-  auto stream = std::make_unique<FakeStream>(*connection);
-  FakeStream& peer = *stream;
-  connection->start(std::move(stream));
+  ConnectionFixture client;
   const auto ping = emulators::command({"PING"});
-  peer.unread = ping.size() - 3;
-  peer.arrive(100, ping.substr(0, 3));
-  peer.unread = 0;
-  peer.arrive(400, ping.substr(3));
-  ASSERT_EQ(callbacks.elapsed.size(), 1u);
-  EXPECT_EQ(callbacks.elapsed[0], 300);
+  client.peer->unread = ping.size() - 3;
+  client.peer->arrive(100, ping.substr(0, 3));
+  client.peer->unread = 0;
+  client.peer->arrive(400, ping.substr(3));
+  ASSERT_EQ(client.callbacks.elapsed.size(), 1u);
+  EXPECT_EQ(client.callbacks.elapsed[0], 300);
   // A command whose rest was still in transit at that read arrives with this rest.
-  peer.arrive(1000, ping.substr(0, 3));
-  peer.arrive(1400, ping.substr(3));
-  ASSERT_EQ(callbacks.elapsed.size(), 2u);
-  EXPECT_EQ(callbacks.elapsed[1], 0);
+  client.peer->arrive(1000, ping.substr(0, 3));
+  client.peer->arrive(1400, ping.substr(3));
+  ASSERT_EQ(client.callbacks.elapsed.size(), 2u);
+  EXPECT_EQ(client.callbacks.elapsed[1], 0);
 }
 
 }  // namespace
