--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -97,6 +97,7 @@
   program.reload(boost::json::serialize(conf));
   program.log_until("reloaded settings are in use");
   first.send(served("one"));
+  first.close();  // so that the waiting requests get other connections
   EXPECT_EQ(client.reply(), "one");
   for (int i = 0; i < 63; ++i) EXPECT_EQ(client.reply(), "+PONG");
   std::vector<Peer> upstreams;
--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -320,12 +320,14 @@
   upstream.command();
   const auto value = random_bytes(kMebibyte);
   upstream.send(served(value));
+  upstream.close();  // so that the next request gets another connection
   EXPECT_EQ(client.line(), "$" + std::to_string(value.size()));
   std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(resp::kIdleTimeoutMs + 500));
   client.send(query(2));
   EXPECT_EQ(client.exactly(value.size() + 2), value + "\r\n");
-  EXPECT_EQ(upstream.command().at(2), id(2));
-  upstream.send(served("two"));
+  auto next = fixture.host.accept();
+  EXPECT_EQ(next.command().at(2), id(2));
+  next.send(served("two"));
   EXPECT_EQ(client.reply(), "two");
 }
 
@@ -394,6 +396,7 @@
   unlucky.send(query(4));
   EXPECT_FALSE(fixture.host.waiting(50));
   upstream.send(served(value).substr(100'000));
+  upstream.close();  // so that the next request gets another connection
   EXPECT_EQ(client.exactly(value.size() + 2), value + "\r\n");
   auto next = fixture.host.accept();
   EXPECT_EQ(next.command().at(2), id(2));
