--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -376,6 +376,32 @@
   EXPECT_EQ(client.reply(), "+PONG");
 }
 
+// Guards against requests that have run and are never answered, as a host hangs in the value before them.
+TEST(StreamedValues, AHostThatHangsFailsNoRequestBehindItsValue) {
+  ProgramFixture fixture;
+  auto client = fixture.program.client();
+  client.send(query(1) + query(2));
+  auto one = fixture.host.accept(), two = fixture.host.accept();
+  if (one.command().at(2) != id(1)) std::swap(one, two);
+  one.send(served(random_bytes(200'000)).substr(0, 100'000));
+  two.send(served("two"));
+  EXPECT_EQ(client.reply(), "-ERR failed");
+  EXPECT_EQ(client.reply(), "two");
+}
+
+// Guards against replies that are lost with a value whose terminator is spoilt.
+TEST(StreamedValues, OneWithoutItsTerminatorFailsNoRequestBehindIt) {
+  ProgramFixture fixture;
+  auto client = fixture.program.client();
+  client.send(query(1) + query(2));
+  auto one = fixture.host.accept(), two = fixture.host.accept();
+  if (one.command().at(2) != id(1)) std::swap(one, two);
+  one.send("*3\r\n$70000\r\n" + random_bytes(70'000) + "XX$-1\r\n$-1\r\n");
+  two.send(served("two"));
+  EXPECT_EQ(client.reply(), "-ERR failed");
+  EXPECT_EQ(client.reply(), "two");
+}
+
 // Guards against requests that are read although their replies depend on a value that may break: they stay
 // unread, and the reset tells their client so.
 TEST(StreamedValues, CommandsBehindOneThatIsPassedOnStayUnreadUntilItsEnd) {
