--- a/review/support-2/standin.py
+++ b/review/support-2/standin.py
@@ -249,6 +249,7 @@
         self.record, self.discovery, self.settings, self.name = record, discovery, gateway_settings, name
         self.memory_mb, self.sockets = memory_mb, sockets
         self.folder = tempfile.mkdtemp(prefix="cometfold-case-")
+        self.tmpdir = os.path.join(self.folder, "tmp")
         self.port = free_port()
         self.first_discovery = discovery  # EDGE_DISCOVERY, which an upgrade leaves as it was
         self.processes = []
@@ -267,11 +268,10 @@
     def start(self):
         """Starts a process; a second one beside the first is an upgrade."""
         admin_port = free_port()
-        tmpdir = os.path.join(self.folder, "tmp")
-        os.makedirs(tmpdir, exist_ok=True)
+        os.makedirs(self.tmpdir, exist_ok=True)
         env = dict(os.environ, EDGE_NAME=self.name, EDGE_LISTEN=f"127.0.0.1:{self.port}",
                    EDGE_DISCOVERY=f"127.0.0.1:{self.first_discovery.port}", EDGE_CONFIG=self.write_config(),
-                   EDGE_ADMIN=f"127.0.0.1:{admin_port}", TMPDIR=tmpdir)
+                   EDGE_ADMIN=f"127.0.0.1:{admin_port}", TMPDIR=self.tmpdir)
         log = open(os.path.join(self.folder, f"log-{len(self.processes)}"), "wb")
         process = subprocess.Popen(["/bin/sh", "-c", run_command()], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
                                    stdout=log, stderr=log)
