--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
 """An upgrade among clients that get long values: is each request that the old process takes answered?
 
-Clients ask on kept connections and rest between their requests. Some values have 2 MiB, and hosts take 2.6 s to write
+Clients ask on kept connections and rest between their requests. Values have 1 MiB, and hosts take 2.6 s to write
 them. After SIGTERM the old process still takes requests on the connections that it keeps open.
 """
 import os
@@ -11,9 +11,9 @@
 
 STOP_S = 3.0 + 0.7   # from SIGTERM to SIGKILL, as the longest deadline counts as 3 s
 EXCUSED_S = 0.7      # what came later than this after SIGTERM has to be answered
-LONG_BYTES, LONG_S, PIECES = 2 << 20, 2.6, 52
-CLIENTS = 32
-REST_S = (0.2, 2.0)  # less than the 2 s after which a gateway may close a connection
+LONG_BYTES, LONG_S, PIECES = 1 << 20, 2.6, 52
+CLIENTS = 60
+REST_S = (0.8, 2.0)  # less than the 2 s after which a gateway may close a connection
 
 
 async def case(record, gateways):
