One limit on the buffers of all connections; waiting replies can't pass it

Cause: the limit on unsent replies was looked at only while the output of the connection itself was not empty, so not behind an unanswered command; it did not count replies that were still to come; what was being read from hosts was not counted at all.

Change: MemoryBudget, half of the memory, counts replies (waiting, held, unwritten), commands and hosts' replies, and reserves what commands under way are expected to bring. A command whose reply would wait stays unread at half of it, one that waits for none is rejected at all of it. Metrics: memory.*.

--- a/src/engine/downstream_handler.h
+++ b/src/engine/downstream_handler.h
@@ -33,6 +33,8 @@
   // called yet: after a pause of the process, the close may be queued behind other events. Checked before an
   // attempt is started.
   virtual bool client_disconnected(ResponseHandle) { return false; }
+  // Whether the front end has memory for the reply; otherwise the request is not accepted.
+  virtual bool has_reply_capacity(ResponseHandle) { return true; }
 };
 
 }  // namespace cometfold::engine
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -53,7 +53,8 @@
     return AcceptResult::kClientDisconnected;
   }
   if (requests_.unanswered_count() >= limits_.max_open_requests ||
-      requests_.payload_bytes() + incoming.payload->bytes() > limits_.max_payload_bytes) {
+      requests_.payload_bytes() + incoming.payload->bytes() > limits_.max_payload_bytes ||
+      !handler.has_reply_capacity(response)) {
     ++metrics_.of_class(incoming.request.class_index).rejected;
     ++metrics_.rejections.no_capacity;
     return AcceptResult::kNoCapacity;
--- a/src/engine/request.h
+++ b/src/engine/request.h
@@ -39,7 +39,7 @@
 enum class AcceptResult : std::uint8_t {
   kAccepted,            // a reply follows or has been delivered
   kDuplicateIdentity,   // another open request has this identity; nothing was done
-  kNoCapacity,          // beyond EngineLimits; nothing was done
+  kNoCapacity,          // beyond EngineLimits or the front end's memory; nothing was done
   kClientDisconnected,  // its client has closed its connection; nothing was done, and no reply follows
 };
 
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -138,7 +138,7 @@
     return report_violation("the engine's promise",
                             "the engine counts payload bytes although no request is open");
   }
-  if (gateway_->totals.unsent_bytes > 0) {
+  if (gateway_->totals.memory.used(resp::MemoryBudget::Use::kReplies) > 0) {
     return report_violation("the engine's promise",
                             "unsent reply bytes are counted although every reply has been sent");
   }
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -59,11 +59,12 @@
       callbacks_(callbacks),
       max_connections_(limits.max_connections),
       max_unused_connections_(limits.max_unused_connections),
-      totals_{.max_unsent_bytes = limits.max_unsent_bytes, .max_buffered_bytes = limits.max_buffered_bytes},
       acceptor_(io),
       accept_timer_(io),
       disconnect_check_timer_(io),
-      sweep_timer_(io) {}
+      sweep_timer_(io) {
+  totals_.memory.set_limit(limits.max_buffer_bytes);
+}
 ClientServer::~ClientServer() = default;
 
 // ---- listener ----
@@ -107,8 +108,7 @@
 void ClientServer::set_limits(const ClientLimits& limits) {
   max_connections_ = limits.max_connections;
   max_unused_connections_ = limits.max_unused_connections;
-  totals_.max_unsent_bytes = limits.max_unsent_bytes;
-  totals_.max_buffered_bytes = limits.max_buffered_bytes;
+  totals_.memory.set_limit(limits.max_buffer_bytes);
 }
 
 void ClientServer::accept() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -33,10 +33,8 @@
 struct ClientLimits {
   std::size_t max_connections = 512;
   std::size_t max_unused_connections = 256;  // idle after at least one reply
-  // Totals over all connections.
-  std::size_t max_unsent_bytes = std::size_t{24} * 1024 * 1024;  // of replies
-  std::size_t max_buffered_bytes =
-      std::size_t{24} * 1024 * 1024;  // of commands; above it large ones are rejected
+  // Of all buffers together, those of connections to hosts included.
+  std::size_t max_buffer_bytes = resp::MemoryBudget::kDefaultLimitBytes;
 };
 
 class ClientServer : public resp::ReplySink, public resp::ClientConnectionCallbacks {
@@ -57,6 +55,8 @@
   void release_listener();
   void set_limits(const ClientLimits& limits);
   const resp::ClientTotals& totals() const { return totals_; }
+  // For buffers of other connections that count against the same limit.
+  resp::MemoryBudget& memory() { return totals_.memory; }
 
   void send_reply(Ms now, ResponseHandle handle, std::string_view reply) override;
   void send_error(Ms now, ResponseHandle handle, std::string_view reason) override;
@@ -64,6 +64,7 @@
   bool append_value(Ms now, ResponseHandle handle, std::string_view bytes) override;
   void finish_value(Ms now, ResponseHandle handle) override;
   bool client_disconnected(ResponseHandle handle) override;
+  bool has_reply_capacity(ResponseHandle) override { return totals_.memory.admits_command(); }
 
   // See resp::ClientConnection.
   void on_names_replaced(const std::shared_ptr<const resp::CommandNames>& names);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -31,6 +31,17 @@
   return counts;
 }
 
+ops::MemoryMetrics memory_metrics(const resp::ClientTotals& totals) {
+  using Use = resp::MemoryBudget::Use;
+  const resp::MemoryBudget& memory = totals.memory;
+  return {.limit = memory.limit(),
+          .replies = memory.used(Use::kReplies),
+          .client_input = memory.used(Use::kClientInput),
+          .host_input = memory.used(Use::kHostInput),
+          .reserved = memory.reserved(),
+          .dropped_replies = totals.dropped_replies};
+}
+
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, Clock& clock, Config config, std::function<void()> on_stopped)
@@ -56,6 +67,7 @@
       drain_timer_(io),
       ready_timer_(io) {
   const Config& in_use = config_.get();
+  hosts_.pool().share_memory(clients_.memory());
   hosts_.set_descriptor_source([this] { return clients_.evict_one(); });
   engine_.update_settings(in_use.settings);
   if (in_use.gateway_settings.log_requests) {
@@ -284,6 +296,7 @@
                               .attempts = engine_.attempt_metrics(),
                               .closed = closed_connections(clients_.totals()),
                               .forbidden_closes = clients_.totals().forbidden_closes,
+                              .memory = memory_metrics(clients_.totals()),
                               .peers = peers_ ? std::optional(peers_->metrics()) : std::nullopt},
                              config_.class_labels(), engine_.class_metrics());
 }
--- a/src/net/gateway_limits.cpp
+++ b/src/net/gateway_limits.cpp
@@ -24,9 +24,10 @@
 constexpr Ms kDrainMargin = 450;
 
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
-// The memory limit is divided into this many parts; request bodies, unsent replies and command buffers get
-// one each. Attempts hold copies of bodies, so the sum stays well below the limit.
+// The memory limit is divided into this many parts. Request bodies get one, of which attempts hold copies,
+// and the buffers of all connections together get four. The others are for the process itself.
 constexpr std::size_t kMemoryParts = 8;
+constexpr std::size_t kBufferMemoryParts = 4;
 
 std::size_t usable_descriptors(const Config& config) {
   return config.max_descriptors > kReservedDescriptors ? config.max_descriptors - kReservedDescriptors
@@ -66,8 +67,7 @@
   ClientLimits limits;
   limits.max_connections = std::max<std::size_t>(1, descriptors - host_pool_limits(config).max_connections);
   limits.max_unused_connections = std::max<std::size_t>(1, descriptors / kDescriptorsPerUnusedConnection);
-  limits.max_unsent_bytes = memory_part(config);
-  limits.max_buffered_bytes = memory_part(config);
+  limits.max_buffer_bytes = kBufferMemoryParts * memory_part(config);
   return limits;
 }
 
--- a/src/ops/metrics.cpp
+++ b/src/ops/metrics.cpp
@@ -85,6 +85,15 @@
   out.count("attempts.repeats", attempts.retries);
 }
 
+void render_memory(const MemoryMetrics& memory, Renderer& out) {
+  out.gauge("memory.limit", memory.limit);
+  out.gauge("memory.replies", memory.replies);
+  out.gauge("memory.client_input", memory.client_input);
+  out.gauge("memory.host_input", memory.host_input);
+  out.gauge("memory.reserved", memory.reserved);
+  out.count("memory.dropped_replies", memory.dropped_replies);
+}
+
 void render_peers(const PeerMetrics& peers, Renderer& out) {
   for (const auto& [name, value] : peers.gauges) out.gauge(joined("peers.", name), value);
   for (const auto& [name, value] : peers.counts) out.count(joined("peers.", name), value);
@@ -105,6 +114,7 @@
   render_rules(metrics, out);
   render_attempts(metrics.attempts, out);
   for (const auto& [reason, value] : metrics.closed) out.count(joined("closed.", reason), value);
+  render_memory(metrics.memory, out);
   if (metrics.peers) render_peers(*metrics.peers, out);
   return std::move(out).take();
 }
--- a/src/ops/metrics.h
+++ b/src/ops/metrics.h
@@ -19,6 +19,16 @@
   std::vector<std::pair<std::string, std::uint64_t>> gauges, counts;
 };
 
+// Bytes that the buffers of all connections hold (see resp::MemoryBudget), and what was refused for them.
+struct MemoryMetrics {
+  std::size_t limit = 0;
+  std::size_t replies = 0;
+  std::size_t client_input = 0;
+  std::size_t host_input = 0;
+  std::size_t reserved = 0;
+  std::uint64_t dropped_replies = 0;
+};
+
 struct GatewayMetrics {
   std::size_t in_progress = 0;             // requests accepted and not yet answered
   std::size_t known_hosts = 0;             // in the host list
@@ -31,6 +41,7 @@
   std::vector<std::pair<std::string_view, std::uint64_t>> closed = {};  // clients' connections, by reason
   // Connections that were to be closed although the rules forbid it. Each is a bug of the gateway.
   std::uint64_t forbidden_closes = 0;
+  MemoryMetrics memory = {};
   std::optional<PeerMetrics> peers = {};  // unset if the gateway is in no cluster
 };
 
--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -28,7 +28,7 @@
 
 ClientConnection::ClientConnection(ClientConnectionCallbacks& callbacks, ClientTotals& totals,
                                    std::uint64_t id, Ms now)
-    : callbacks_(callbacks), totals_(totals), id_(id), input_(totals, now), replies_(totals.unsent_bytes) {
+    : callbacks_(callbacks), totals_(totals), id_(id), input_(totals.memory, now), replies_(totals.memory) {
   touch(now);
 }
 
@@ -76,11 +76,13 @@
   if (!closed_ && !input_.empty() && stream_->unread_bytes() > 0) input_.set_more_available();
 }
 
-// Bounds the memory for replies to clients that send commands without reading the replies.
+// Bounds the memory for replies that wait for earlier ones, and for those that clients do not read. A command
+// that waits for none is dispatched: if there is no memory for its reply, it is rejected at once.
 bool ClientConnection::must_pause() const {
+  const bool must_wait = !replies_.empty() || !replies_.output_empty();
   return replies_.streams_value() || replies_.size() >= kMaxPendingCommands ||
          replies_.unwritten_size() >= kMaxUnwrittenBytes ||
-         (totals_.unsent_bytes >= totals_.max_unsent_bytes && !replies_.output_empty());
+         (must_wait && !totals_.memory.admits_waiting_command());
 }
 
 // Posted, as a reply may be sent from inside the admission module, which is not reentrant.
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -130,6 +130,7 @@
 
   // client_connection_replies.cpp: writing replies
   ReplySlot* find_incomplete(std::uint64_t sequence);
+  std::string_view reply_within_memory(std::string_view reply, bool waits);
   void append_output(Ms now, std::string_view bytes);
   void complete_first_reply(Ms now, const CommandResult& command, std::string_view bytes);
   void flush_complete_replies(Ms now);
@@ -143,6 +144,7 @@
   void start_first_value(Ms now);
   bool must_hold_value(Ms now) const;
   void begin_value_if_due(Ms now);
+  std::size_t max_value_bytes_ahead() const;
   std::size_t value_bytes_ahead(const ReplySlot& slot, bool is_first) const;
   void notify_capacity(Ms now);
   void abort_value(ReplySlot& slot);
--- a/src/resp/client_connection_replies.cpp
+++ b/src/resp/client_connection_replies.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaxConsecutiveErrors = 8;  // of one connection, before it is closed
+constexpr std::string_view kNoMemoryReply = "-ERR no memory for the reply\r\n";
 
 }  // namespace
 
@@ -25,13 +26,23 @@
   if (!slot) return;
   if (slot->begun) return abort_value(*slot);
   replies_.clear_buffer(*slot);  // of a streamed value that the reply replaces
-  slot->complete = true;
+  const bool waits = !replies_.is_first(sequence);
+  const std::string_view sent = reply_within_memory(reply, waits);
+  replies_.complete(*slot);
   const CommandResult command = std::exchange(slot->command, CommandResult{});
-  if (!replies_.is_first(sequence) && !mutant(Mutant::kRepliesOutOfOrder)) {
-    replies_.buffer(*slot, reply);
+  if (command.is_request) totals_.memory.record_reply(reply.size());
+  if (waits && !mutant(Mutant::kRepliesOutOfOrder)) {
+    replies_.buffer(*slot, sent);
     return hold_identity(command);
   }
-  complete_first_reply(now, command, reply);
+  complete_first_reply(now, command, sent);
+}
+
+// The last resort if replies are larger than expected: the client gets an error instead, but it gets one.
+std::string_view ClientConnection::reply_within_memory(std::string_view reply, bool waits) {
+  if (totals_.memory.has_room_for_reply(reply.size(), waits)) return reply;
+  ++totals_.dropped_replies;
+  return kNoMemoryReply;
 }
 
 // `bytes`: the whole reply, or the last part of a streamed one.
--- a/src/resp/client_connection_values.cpp
+++ b/src/resp/client_connection_values.cpp
@@ -9,14 +9,14 @@
 namespace cometfold::resp {
 namespace {
 
-// Bytes of a streamed value that are accepted ahead of what the client reads.
+// Bytes of a streamed value that are accepted ahead of what the client reads; the second applies while memory
+// is scarce.
 constexpr std::size_t kMaxValueAheadBytes = std::size_t{48} * 1024;
+constexpr std::size_t kMaxScarceValueAheadBytes = std::size_t{4} * 1024;
 // A value is held for at most this time while replies wait behind it. Holding one back for 2 s would fail it.
 constexpr Ms kMaxValueHoldMs = 1'500;
 // A held value is begun this long before its request's deadline, as the end of the hold is noticed in sweeps.
 constexpr Ms kValueDeadlineMarginMs = 250;
-// Held values may use the memory for unsent replies divided by this.
-constexpr std::size_t kHeldMemoryDivisor = 2;
 
 }  // namespace
 
@@ -43,8 +43,7 @@
 
 // If the value breaks once it is begun, the replies behind it are lost with the connection.
 bool ClientConnection::must_hold_value(Ms now) const {
-  const bool has_memory = totals_.unsent_bytes < totals_.max_unsent_bytes / kHeldMemoryDivisor;
-  return has_memory && now < value_held_until_;
+  return totals_.memory.may_hold_values() && now < value_held_until_;
 }
 
 void ClientConnection::begin_value_if_due(Ms now) {
@@ -64,10 +63,14 @@
     replies_.buffer(*slot, bytes);
     if (replies_.is_first(sequence)) begin_value_if_due(now);
   }
-  slot->awaits_capacity = value_bytes_ahead(*slot, replies_.is_first(sequence)) >= kMaxValueAheadBytes;
+  slot->awaits_capacity = value_bytes_ahead(*slot, replies_.is_first(sequence)) >= max_value_bytes_ahead();
   return !slot->awaits_capacity;
 }
 
+std::size_t ClientConnection::max_value_bytes_ahead() const {
+  return totals_.memory.is_scarce() ? kMaxScarceValueAheadBytes : kMaxValueAheadBytes;
+}
+
 // A held value is bounded by `must_hold_value` instead, as only its end lets it go on.
 std::size_t ClientConnection::value_bytes_ahead(const ReplySlot& slot, bool is_first) const {
   if (slot.begun) return replies_.unwritten_size();
@@ -78,7 +81,7 @@
   ReplySlot* slot = find_incomplete(sequence);
   if (!slot || write_failed_) return;
   const CommandResult command = std::exchange(slot->command, CommandResult{});
-  slot->complete = true;
+  replies_.complete(*slot);
   slot->awaits_capacity = false;
   if (slot->begun) return complete_first_reply(now, command, "\r\n");
   replies_.buffer(*slot, "\r\n");
@@ -88,7 +91,7 @@
 
 void ClientConnection::notify_capacity(Ms now) {
   if (closed_ || replies_.empty() || !replies_.first().awaits_capacity) return;
-  if (replies_.first().begun && replies_.unwritten_size() >= kMaxValueAheadBytes / 2) return;
+  if (replies_.first().begun && replies_.unwritten_size() >= max_value_bytes_ahead() / 2) return;
   replies_.first().awaits_capacity = false;
   callbacks_.on_client_writable(now, replies_.first().command.request_id);
 }
--- a/src/resp/command_input.cpp
+++ b/src/resp/command_input.cpp
@@ -14,16 +14,17 @@
 
 }  // namespace
 
-CommandInput::CommandInput(ClientTotals& totals, Ms now)
-    : totals_(totals),
+CommandInput::CommandInput(MemoryBudget& memory, Ms now)
+    : memory_(memory),
       reader_(RespLimits{.max_buffer_bytes = kMaxReadAheadBytes}, true),
       awaited_since_(now) {}
 
 std::span<char> CommandInput::prepare_read() {
   const auto space = reader_.prepare();
   offered_bytes_ = space.size();
-  totals_.buffered_bytes += reader_.buffer_capacity() - buffered_bytes_;
+  memory_.remove(MemoryBudget::Use::kClientInput, buffered_bytes_);
   buffered_bytes_ = reader_.buffer_capacity();
+  memory_.add(MemoryBudget::Use::kClientInput, buffered_bytes_);
   return space;
 }
 
@@ -60,7 +61,7 @@
 
 // Many incomplete large commands together would exceed the memory limit of the process.
 bool CommandInput::incomplete_command_too_large() const {
-  return buffered_bytes_ > kMaxExemptBufferBytes && totals_.buffered_bytes > totals_.max_buffered_bytes;
+  return buffered_bytes_ > kMaxExemptBufferBytes && !memory_.admits_large_commands();
 }
 
 ReadResult CommandInput::next(Ms now) {
@@ -84,11 +85,11 @@
 
 // The end of a client's stream becomes visible only once everything sent before it has been read, so input is
 // read ahead. It uses at most half of the total buffer memory, as incomplete commands need that more.
-bool CommandInput::may_read_ahead() const {
-  return !reader_.full() && totals_.buffered_bytes < totals_.max_buffered_bytes / 2;
-}
+bool CommandInput::may_read_ahead() const { return !reader_.full() && memory_.may_read_ahead(); }
 
-void CommandInput::release_accounting() { totals_.buffered_bytes -= std::exchange(buffered_bytes_, 0); }
+void CommandInput::release_accounting() {
+  memory_.remove(MemoryBudget::Use::kClientInput, std::exchange(buffered_bytes_, 0));
+}
 
 void CommandInput::set_arrival_bound(Ms earliest) {
   arrived_at_ = earliest;
--- a/src/resp/command_input.h
+++ b/src/resp/command_input.h
@@ -9,7 +9,7 @@
 #include <span>
 
 #include "cometfold/admission_controller.h"
-#include "resp/client_totals.h"
+#include "resp/memory_budget.h"
 #include "resp/request_parser.h"
 #include "resp/resp_reader.h"
 
@@ -25,8 +25,8 @@
 
 class CommandInput {
  public:
-  // `totals` must outlive this object.
-  CommandInput(ClientTotals& totals, Ms now);
+  // `memory` must outlive this object.
+  CommandInput(MemoryBudget& memory, Ms now);
 
   // Returns the space for one read and accounts for it. Valid until the next call of `next` or
   // `prepare_read`.
@@ -47,7 +47,7 @@
   bool empty() const { return reader_.empty(); }
   // Whether more may be read while no commands are dispatched.
   bool may_read_ahead() const;
-  // Subtracts the buffer from the totals. Called when the connection is closed.
+  // Subtracts the buffer from the budget. Called when the connection is closed.
   void release_accounting();
 
   // Bytes read next may have arrived as early as `earliest`.
@@ -72,7 +72,7 @@
   bool incomplete_command_too_large() const;
   void count_received(std::size_t bytes);
 
-  ClientTotals& totals_;
+  MemoryBudget& memory_;
   RespReader reader_;
   Frame frame_;
   ProtocolError error_{};
--- a/src/resp/host_connection.cpp
+++ b/src/resp/host_connection.cpp
@@ -1,5 +1,6 @@
 #include "resp/host_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "engine/faults.h"
@@ -11,6 +12,10 @@
 
 namespace {
 
+// A buffer may grow up to this size however little memory is left, so that most replies can be read.
+constexpr std::size_t kMinBufferBytes = std::size_t{16} * 1024;
+// Part of each connection, as its other members are.
+constexpr std::size_t kUncountedBufferBytes = std::size_t{2} * 1024;
 constexpr std::size_t kMaxIdleRequestBytes = 4096;  // the memory of a larger request is freed after the reply
 // Bytes of a streamed value that must have arrived before it is forwarded. Afterwards no other attempt can
 // replace this one, so the host must have sent more than just an announced length.
@@ -52,6 +57,7 @@
 void HostConnection::close() {
   if (closed_) return;
   closed_ = true;
+  count_buffer();
   stream_->close();
   --context_.connection_count;
   pool_->remove(self());
@@ -135,7 +141,29 @@
 }
 
 // Idle connections are read too, so that one that the host has closed is noticed and not used again.
-void HostConnection::read() { stream_->read(reader_.prepare()); }
+void HostConnection::read() {
+  reads_paused_ = !may_grow_buffer();
+  if (reads_paused_) return;
+  const auto space = reader_.prepare();
+  count_buffer();
+  stream_->read(space);
+}
+
+// What a host sends beyond the memory stays in the socket. The attempt's deadline bounds the wait.
+bool HostConnection::may_grow_buffer() const {
+  const std::size_t capacity = reader_.buffer_capacity();
+  if (context_.memory == nullptr || capacity < kMinBufferBytes || !reader_.needs_growth()) return true;
+  return context_.memory->has_room_for_host_input(capacity);
+}
+
+void HostConnection::count_buffer() {
+  if (context_.memory == nullptr) return;
+  const std::size_t capacity = reader_.buffer_capacity();
+  const std::size_t bytes = closed_ ? 0 : capacity - std::min(capacity, kUncountedBufferBytes);
+  context_.memory->remove(MemoryBudget::Use::kHostInput, counted_buffer_bytes_);
+  context_.memory->add(MemoryBudget::Use::kHostInput, bytes);
+  counted_buffer_bytes_ = bytes;
+}
 
 void HostConnection::process_input(Ms now) {
   switch (reader_.next(frame_)) {
@@ -196,6 +224,7 @@
 void HostConnection::become_idle(Ms now) {
   if (request_.capacity() > kMaxIdleRequestBytes) std::string().swap(request_);
   written_ = request_.size();
+  reader_.release_buffer();
   // The host's kernel may delay an unsolicited second reply until the first one is acknowledged, at the
   // latest by the next request, whose reply it would then be taken for.
   stream_->send_pending_ack();
--- a/src/resp/host_connection.h
+++ b/src/resp/host_connection.h
@@ -34,8 +34,10 @@
   void fail(Ms now, Outcome outcome);
   // Closes the connection without reporting the end of an attempt.
   void close();
-  // Resumes reading a streamed value, as there is capacity for it again.
+  // Resumes reading, as there is capacity for a streamed value again, or may be memory.
   void resume();
+  // The rest of a reply is left unread, as there is no memory for a larger buffer.
+  bool waits_for_memory() const { return reads_paused_ && !value_started_; }
 
   bool connected() const { return connected_; }
   // Its attempt waits for the connection to be established.
@@ -63,6 +65,8 @@
   void begin_request(Ms remaining_ms);
   void write();
   void read();
+  bool may_grow_buffer() const;
+  void count_buffer();
   void process_input(Ms now);
   void forward_chunk(Ms now);
   void fail_malformed(Ms now, std::string_view detail);
@@ -78,14 +82,15 @@
   AttemptId write_failed_attempt_ = 0;    // `on_posted` ends it
   const HostCommand* command_ = nullptr;  // of an attempt that waits for the connection
   std::string request_;
-  std::size_t written_ = 0;  // bytes of `request_` that are written
+  std::size_t written_ = 0;               // bytes of `request_` that are written
+  std::size_t counted_buffer_bytes_ = 0;  // that the memory budget includes
   Ms idle_since_ = 0;
   Ms last_chunk_at_ = 0;  // time of the last chunk of a streamed value
   bool connected_ = false;
   bool closed_ = false;
   bool write_blocked_ = false;  // awaiting `on_writable`
   bool value_started_ = false;  // a streamed value is being forwarded
-  bool reads_paused_ = false;   // until the client has capacity for more of it
+  bool reads_paused_ = false;   // until the client has capacity for more of it, or there is memory
 };
 
 }  // namespace cometfold::resp
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -152,9 +152,18 @@
   }
 }
 
+void HostPool::resume_reads() {
+  std::vector<ConnectionPtr> waiting;
+  for (const auto& [attempt, connection] : context_.attempts) {
+    if (connection->waits_for_memory()) waiting.push_back(connection);
+  }
+  for (const ConnectionPtr& connection : waiting) connection->resume();
+}
+
 void HostPool::sweep(Ms now) {
   for (const auto& [host, pool] : active_pools_) pool->close_expired(now, max_idle_ms());
   end_stalled_attempts(now);
+  resume_reads();
   while (context_.connection_count > context_.limits.max_connections && close_oldest_idle()) {
   }
   std::erase_if(retired_pools_, [](const auto& entry) { return entry.second->connection_count() == 0; });
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -42,10 +42,12 @@
   void retire_host(Ms now, HostId host) override;
   void resume(Ms now, AttemptId attempt) override;
 
+  // From now on the buffers of the connections count against `memory`, which must outlive this object.
+  void share_memory(MemoryBudget& memory) { context_.memory = &memory; }
   // Idle connections above the new limits are closed at the next sweep.
   void set_limits(const HostPoolLimits& limits) { context_.limits = limits; }
-  // Closes expired idle connections, ends stalled streamed values and removes retired hosts without
-  // connections. Must be called a few times per second.
+  // Closes expired idle connections, ends stalled streamed values, resumes reads that waited for memory and
+  // removes retired hosts without connections. Must be called a few times per second.
   void sweep(Ms now);
   void close_all();
 
@@ -61,6 +63,7 @@
   ConnectionPtr connect(const std::shared_ptr<SingleHostPool>& pool);
   bool close_oldest_idle();
   void end_stalled_attempts(Ms now);
+  void resume_reads();
   Ms max_idle_ms() const;
 
   HostPoolContext context_;
--- a/src/resp/host_pool_context.h
+++ b/src/resp/host_pool_context.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "engine/engine.h"
+#include "resp/memory_budget.h"
 #include "resp/stream.h"
 
 namespace cometfold::resp {
@@ -64,6 +65,7 @@
   HostPoolLog log;
   std::size_t connection_count = 0;
   std::unordered_map<AttemptId, std::shared_ptr<HostConnection>> attempts{};  // in flight
+  MemoryBudget* memory = nullptr;  // counts the buffers of the connections; null: they are not counted
 };
 
 }  // namespace cometfold::resp
--- a/src/resp/reply_queue.cpp
+++ b/src/resp/reply_queue.cpp
@@ -15,6 +15,7 @@
 
 std::uint64_t ReplyQueue::push() {
   slots_.emplace_back();
+  memory_.begin_command();
   return first_sequence_ + slots_.size() - 1;
 }
 
@@ -28,14 +29,19 @@
   return std::any_of(slots_.begin(), slots_.end(), [](const ReplySlot& slot) { return slot.complete; });
 }
 
+void ReplyQueue::complete(ReplySlot& slot) {
+  slot.complete = true;
+  memory_.end_command();
+}
+
 void ReplyQueue::buffer(ReplySlot& slot, std::string_view bytes) {
   slot.bytes += bytes;
   slot.counted_bytes += bytes.size();
-  total_unsent_bytes_ += bytes.size();
+  count(bytes.size());
 }
 
 void ReplyQueue::clear_buffer(ReplySlot& slot) {
-  total_unsent_bytes_ -= std::exchange(slot.counted_bytes, 0);
+  release(std::exchange(slot.counted_bytes, 0));
   slot.bytes.clear();
 }
 
@@ -53,24 +59,24 @@
 }
 
 void ReplyQueue::move_to_output(ReplySlot& slot) {
-  total_unsent_bytes_ -= std::exchange(slot.counted_bytes, 0);
+  release(std::exchange(slot.counted_bytes, 0));
   if (slot.bytes.empty()) return;
   if (!output_.empty()) return append_output(std::exchange(slot.bytes, {}));
   output_ = std::exchange(slot.bytes, {});  // may be a whole streamed value, so it is not copied
-  total_unsent_bytes_ += output_.size();
+  count(output_.size());
 }
 
 void ReplyQueue::append_output(std::string_view bytes) {
   if (written_ >= kMaxWrittenPrefixBytes) {  // otherwise a streamed value would accumulate here
-    total_unsent_bytes_ -= written_;
+    release(written_);
     output_.erase(0, std::exchange(written_, 0));
   }
   output_ += bytes;
-  total_unsent_bytes_ += bytes.size();
+  count(bytes.size());
 }
 
 void ReplyQueue::clear_output() {
-  total_unsent_bytes_ -= output_.size();
+  release(output_.size());
   output_.clear();
   written_ = 0;
   if (output_.capacity() > kMaxIdleOutputBytes) output_.shrink_to_fit();
@@ -81,7 +87,10 @@
 }
 
 std::deque<ReplySlot> ReplyQueue::take_slots() {
-  for (const ReplySlot& slot : slots_) total_unsent_bytes_ -= slot.counted_bytes;
+  for (const ReplySlot& slot : slots_) {
+    release(slot.counted_bytes);
+    if (!slot.complete) memory_.end_command();
+  }
   first_sequence_ += slots_.size();
   return std::exchange(slots_, {});
 }
--- a/src/resp/reply_queue.h
+++ b/src/resp/reply_queue.h
@@ -12,6 +12,7 @@
 
 #include "cometfold/admission_controller.h"
 #include "engine/digest.h"
+#include "resp/memory_budget.h"
 
 namespace cometfold::resp {
 
@@ -30,7 +31,7 @@
   bool streamed = false;          // a streamed value has started
   bool begun = false;             // part of that value is in the output
   bool awaits_capacity = false;   // the sender of that value waits for `on_client_writable`
-  std::size_t counted_bytes = 0;  // part of `bytes` that the total of unsent bytes includes
+  std::size_t counted_bytes = 0;  // part of `bytes` that the memory budget includes
   std::string bytes;              // buffered while earlier replies are incomplete
 };
 
@@ -38,8 +39,8 @@
 // is a streamed value that has been begun; later ones are buffered in their slots.
 class ReplyQueue {
  public:
-  // `total_unsent_bytes`, over all connections, must outlive this object.
-  explicit ReplyQueue(std::size_t& total_unsent_bytes) : total_unsent_bytes_(total_unsent_bytes) {}
+  // `memory`, of all connections, must outlive this object.
+  explicit ReplyQueue(MemoryBudget& memory) : memory_(memory) {}
 
   // Adds a slot for the next command; returns its sequence number.
   std::uint64_t push();
@@ -57,6 +58,8 @@
     return !slots_.empty() && slots_.front().streamed && !slots_.front().complete;
   }
 
+  // The reply in this slot is complete once its bytes are buffered or in the output.
+  void complete(ReplySlot& slot);
   void buffer(ReplySlot& slot, std::string_view bytes);
   void clear_buffer(ReplySlot& slot);
   // Moves the complete replies at the front to the output.
@@ -77,7 +80,7 @@
   std::vector<std::uint64_t> take_unflushed_identities();
 
   // Called when the connection is closed: its output no longer counts as unsent.
-  void release_accounting() { total_unsent_bytes_ -= output_.size(); }
+  void release_accounting() { release(output_.size()); }
   // Removes the slots of all commands. Their buffered bytes no longer count as unsent.
   std::deque<ReplySlot> take_slots();
 
@@ -86,8 +89,10 @@
 
  private:
   void move_to_output(ReplySlot& slot);
+  void count(std::size_t bytes) { memory_.add(MemoryBudget::Use::kReplies, bytes); }
+  void release(std::size_t bytes) { memory_.remove(MemoryBudget::Use::kReplies, bytes); }
 
-  std::size_t& total_unsent_bytes_;
+  MemoryBudget& memory_;
   std::deque<ReplySlot> slots_;
   std::uint64_t first_sequence_ = 0;  // of the first slot
   std::string output_;
--- a/src/resp/resp_handler.h
+++ b/src/resp/resp_handler.h
@@ -30,6 +30,8 @@
   virtual void finish_value(Ms now, ResponseHandle handle) = 0;
   // Whether the client has closed its connection, even if that has not been reported yet.
   virtual bool client_disconnected(ResponseHandle) { return false; }
+  // Whether there is memory for the reply.
+  virtual bool has_reply_capacity(ResponseHandle) { return true; }
 };
 
 class RespHandler : public engine::DownstreamHandler {
@@ -65,6 +67,7 @@
   }
   void on_value_finished(Ms now, ResponseHandle handle) override { replies_.finish_value(now, handle); }
   bool client_disconnected(ResponseHandle handle) override { return replies_.client_disconnected(handle); }
+  bool has_reply_capacity(ResponseHandle handle) override { return replies_.has_reply_capacity(handle); }
 
  private:
   CommandResult on_request(Ms now, ResponseHandle handle, std::span<const Item> words,
--- a/src/resp/resp_reader.cpp
+++ b/src/resp/resp_reader.cpp
@@ -53,6 +53,11 @@
   if (buffer_.size() > kMaxIdleBufferBytes) buffer_ = std::vector<char>(kMaxIdleBufferBytes);
 }
 
+void RespReader::release_buffer() {
+  drop_consumed();
+  if (begin_ == end_ && buffer_.size() > kInitialBufferBytes) buffer_ = std::vector<char>();
+}
+
 std::size_t RespReader::max_buffered_bytes() const {
   return std::max(limits_.max_buffer_bytes, limits_.max_frame_bytes + kInitialBufferBytes);
 }
--- a/src/resp/resp_reader.h
+++ b/src/resp/resp_reader.h
@@ -75,6 +75,10 @@
   // The buffer has reached its limit; there is space again only after `next` has returned a frame.
   bool full() const { return remaining_bytes() >= max_buffered_bytes(); }
   std::size_t buffer_capacity() const { return buffer_.size(); }
+  // The next call of `prepare` allocates a larger buffer.
+  bool needs_growth() const { return remaining_bytes() == buffer_.size(); }
+  // Frees a large buffer if it is empty. The frame that `next` returned last becomes invalid.
+  void release_buffer();
   // Valid only after `next` returned `kProtocolError`.
   ProtocolError error() const { return error_.value(); }
 
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -118,7 +118,7 @@
   for (const bool scarce : {false, true}) {
     RecordingCallbacks callbacks;
     ClientTotals totals;
-    if (scarce) totals.max_buffered_bytes = kMaxOfAll;
+    if (scarce) totals.memory.set_limit(4 * kMaxOfAll);
     const auto connection = std::make_shared<ClientConnection>(callbacks, totals, 1, 0);
     auto stream = std::make_unique<FakeStream>(*connection);
     FakeStream& peer = *stream;
@@ -127,7 +127,7 @@
     EXPECT_EQ(callbacks.sequences.size(), 64u);
     EXPECT_GE(taken, scarce ? kMaxOfAll / 4 : kMaxOfOne);
     EXPECT_LE(taken, commands.size() + (scarce ? kMaxOfAll : kMaxOfOne));
-    EXPECT_LE(totals.buffered_bytes, scarce ? kMaxOfAll : kMaxOfOne);
+    EXPECT_LE(totals.memory.used(MemoryBudget::Use::kClientInput), scarce ? kMaxOfAll : kMaxOfOne);
   }
 }
 
@@ -192,6 +192,35 @@
   callbacks.connection.reset();
 }
 
+// Guards against replies that fill the memory behind commands that get no answer: commands that would have to
+// wait stay unread, and get their replies once the ones before them have theirs.
+TEST(ClientConnection, RepliesBehindUnansweredCommandsStayWithinTheMemoryOfAll) {
+  constexpr std::size_t kClients = 30, kLargeReplies = 63, kLimitBytes = std::size_t{96} << 20;
+  std::string commands = emulators::command({"PING"});
+  for (std::size_t i = 0; i < kLargeReplies; ++i) commands += emulators::command({"PING", "large"});
+  ClientTotals totals;
+  std::vector<LargeReplyCallbacks> callbacks(kClients);
+  std::vector<FakeStream*> peers;
+  std::size_t replies = 0;
+  for (LargeReplyCallbacks& client : callbacks) {
+    client.connection = std::make_shared<ClientConnection>(client, totals, 1, 0);
+    auto stream = std::make_unique<FakeStream>(*client.connection);
+    peers.push_back(stream.get());
+    client.connection->start(std::move(stream));
+    peers.back()->arrive(1, commands);
+    ASSERT_GE(client.sequences.size(), 1u);
+    replies += client.sequences.size() - 1;
+  }
+  EXPECT_LE(replies * 60'000, kLimitBytes);
+  for (LargeReplyCallbacks& client : callbacks) {
+    client.connection->send_reply(2, 0, "+PONG\r\n");
+    client.connection->on_posted(2);
+    EXPECT_EQ(client.sequences.size(), kLargeReplies + 1);
+    EXPECT_TRUE(client.connection->is_idle());
+    client.connection.reset();
+  }
+}
+
 // Each reason for closing, and the states that forbid it.
 TEST(CloseRules, ForbidClosingWithPendingRepliesOrUnreadBytes) {
   const ConnectionState inactive{.has_replied = true, .inactive_ms = 60'000, .command_awaited_ms = 60'000};
--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -120,6 +120,7 @@
   std::shared_ptr<resp::ClientConnection> connection =
       std::make_shared<resp::ClientConnection>(callbacks, totals, 1, 0);
   LimitedStream* stream;
+  std::size_t unsent_bytes() const { return totals.memory.used(resp::MemoryBudget::Use::kReplies); }
   explicit SingleClientFixture(int commands, Ms deadline = std::numeric_limits<Ms>::infinity()) {
     callbacks.deadline = deadline;
     class ReadableStream : public LimitedStream {
@@ -144,7 +145,7 @@
   const auto chunk = random_bytes(16 * 1024);
   int chunks = 0;
   while (client.connection->append_value(1, 0, chunk)) ASSERT_LT(++chunks, 100);
-  EXPECT_LE(client.totals.unsent_bytes, 96 * 1024u);
+  EXPECT_LE(client.unsent_bytes(), 96 * 1024u);
   EXPECT_TRUE(client.callbacks.writable.empty());
   std::size_t sent = (chunks + 1) * chunk.size(), max_unsent = 0;
   while (sent < 4 * kMebibyte) {
@@ -154,13 +155,13 @@
     client.callbacks.writable.clear();
     for (bool more = true; more && sent < 4 * kMebibyte; sent += chunk.size())
       more = client.connection->append_value(2, 0, chunk);
-    max_unsent = std::max(max_unsent, client.totals.unsent_bytes);
+    max_unsent = std::max(max_unsent, client.unsent_bytes());
   }
   EXPECT_LE(max_unsent, 192 * 1024u);  // of 4 MiB
   client.stream->capacity = kMebibyte;
   client.connection->on_writable(3, true);
   client.connection->finish_value(3, 0);
-  EXPECT_EQ(client.totals.unsent_bytes, 0u);
+  EXPECT_EQ(client.unsent_bytes(), 0u);
   EXPECT_EQ(client.stream->written.substr(0, 10), "$4194304\r\n");
   EXPECT_EQ(client.stream->written.size(), 10 + 4 * kMebibyte + 2);
 }
@@ -173,7 +174,7 @@
   while (client.connection->append_value(1, 1, chunk)) {
   }
   EXPECT_TRUE(client.stream->written.empty());
-  EXPECT_LE(client.totals.unsent_bytes, 80 * 1024u);
+  EXPECT_LE(client.unsent_bytes(), 80 * 1024u);
   client.connection->send_reply(2, 0, "+first\r\n");
   EXPECT_EQ(client.stream->written.substr(0, 17), "+first\r\n$100000\r\n");
   ASSERT_EQ(client.stream->posts, 1);
@@ -200,7 +201,7 @@
   buffered.connection->send_reply(2, 1, "-ERR failed\r\n");
   buffered.connection->send_reply(2, 0, "+first\r\n");
   EXPECT_EQ(buffered.stream->written, "+first\r\n-ERR failed\r\n");
-  EXPECT_EQ(buffered.totals.unsent_bytes, 0u);
+  EXPECT_EQ(buffered.unsent_bytes(), 0u);
 }
 
 // Guards against replies that are lost with the value before them: it is held while they wait, and an error
@@ -209,14 +210,14 @@
   SingleClientFixture client(2);
   client.stream->capacity = kMebibyte;
   client.connection->start_value(1, 0, 100'000);
-  while (client.connection->append_value(1, 0, random_bytes(10'000)) && client.totals.unsent_bytes < 90'000) {
+  while (client.connection->append_value(1, 0, random_bytes(10'000)) && client.unsent_bytes() < 90'000) {
   }
-  EXPECT_GE(client.totals.unsent_bytes, 90'000u);  // held as a whole, not paused
+  EXPECT_GE(client.unsent_bytes(), 90'000u);  // held as a whole, not paused
   client.connection->send_reply(2, 1, "+second\r\n");
   EXPECT_TRUE(client.stream->written.empty());
   client.connection->send_reply(3, 0, "-ERR failed\r\n");
   EXPECT_EQ(client.stream->written, "-ERR failed\r\n+second\r\n");
-  EXPECT_EQ(client.totals.unsent_bytes, 0u);
+  EXPECT_EQ(client.unsent_bytes(), 0u);
   EXPECT_FALSE(client.stream->closed);
 }
 
@@ -252,7 +253,7 @@
   EXPECT_EQ(urgent.stream->written, "$100000\r\n");
 
   SingleClientFixture scarce(2);
-  scarce.totals.max_unsent_bytes = 100'000;
+  scarce.totals.memory.set_limit(200'000);
   scarce.stream->capacity = kMebibyte;
   scarce.connection->start_value(1, 0, 100'000);
   scarce.connection->append_value(1, 0, random_bytes(49'000));
