A host that pauses in a long value is hedged; held values wait for its bytes

Cause: a value was begun after a hold of 1.5 s whether or not its host still gave anything, and a silent host was given up after 10 s; once begun, a value takes the replies behind it with it. Neither deadline nor further attempts applied to a value that had started.

Change: after 1 s without bytes the module may send another attempt, as class, key, settings and attempts permit. The first host may go on at any time. A held value is begun only with bytes that come, and fails at its deadline if its host is silent. Time in which the client did not read no longer counts as its host's silence.

--- a/include/cometfold/admission_controller.h
+++ b/include/cometfold/admission_controller.h
@@ -269,8 +269,11 @@
   void on_host_list(Ms now, HostListUpdate kind, std::span<const HostEntry> entries, ActionSink& out);
   // Requests whose id is already pending are ignored.
   void on_request(Ms now, const Request& request, ActionSink& out);
-  // The first part of an attempt's streamed response has arrived.
+  // An attempt's streamed response is passed on from now on: its first part has arrived, or it continues that
+  // of another attempt.
   void on_stream_started(Ms now, RequestId request, std::uint32_t attempt, ActionSink& out);
+  // The host has sent nothing of an attempt's streamed response for a while.
+  void on_stream_paused(Ms now, RequestId request, std::uint32_t attempt, ActionSink& out);
   // Results of attempts that are unknown or have ended are ignored.
   void on_attempt_end(Ms now, const AttemptResult& result, ActionSink& out);
   void on_client_disconnected(Ms now, RequestId request, ActionSink& out);
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -33,6 +33,12 @@
   impl_->on_stream_started(request, attempt, out);
 }
 
+void AdmissionController::on_stream_paused(Ms now, RequestId request, std::uint32_t attempt,
+                                           ActionSink& out) {
+  impl_->set_time(now);
+  impl_->on_stream_paused(request, attempt, out);
+}
+
 void AdmissionController::on_attempt_end(Ms now, const AttemptResult& result, ActionSink& out) {
   impl_->set_time(now);
   impl_->on_attempt_end(result, out);
--- a/src/admission/attempt_handling.cpp
+++ b/src/admission/attempt_handling.cpp
@@ -25,7 +25,8 @@
   PendingRequest* pending = requests_.find(id);
   if (pending == nullptr || index >= pending->attempts.size()) return;
   Attempt& attempt = pending->attempts[index];
-  if (pending->streaming || !attempt.in_flight) return;
+  if (!attempt.in_flight || attempt.streaming) return;
+  if (pending->streaming && !attempt.hedges_stream) return;
   Host& host = hosts_.find_or_create(attempt.host);
   hosts_.decay(host, now_);
   release_host(host, attempt);
@@ -38,6 +39,21 @@
   }
 }
 
+// The response of a host that pauses may still come whole, so its attempt goes on and is hedged. What the
+// response is worth no longer counts: the client has begun to receive it.
+void AdmissionController::Impl::on_stream_paused(RequestId id, std::uint32_t index, ActionSink& out) {
+  PendingRequest* pending = requests_.find(id);
+  if (pending == nullptr || index >= pending->attempts.size()) return;
+  if (pending->answered || !pending->attempts[index].streaming || pending->attempts_in_flight() != 1) return;
+  if (shedder_.is_overloaded() || !retry_budget_.has_retry()) return;
+  pending->stream_paused = true;
+  if (send_attempt(*pending, out)) {
+    pending->attempts.back().hedges_stream = true;
+    retry_budget_.on_retry();
+  }
+  pending->stream_paused = false;
+}
+
 void AdmissionController::Impl::on_attempt_end(const AttemptResult& result, ActionSink& out) {
   PendingRequest* pending = requests_.find(result.request);
   if (pending == nullptr || result.attempt >= pending->attempts.size()) return;
@@ -50,7 +66,8 @@
     const double actual_units = finite_or(*result.actual_units, pending->request.units);
     quotas_.correct(pending->request, pending->within_quota, actual_units);
   }
-  if (result.request_finished || result.outcome == Outcome::kOk) {
+  const bool is_unused = attempt.hedges_stream && !attempt.streaming;
+  if (result.request_finished || (result.outcome == Outcome::kOk && !is_unused)) {
     pending->answered = true;
     cancel_all_attempts(*pending, out);
   }
--- a/src/admission/controller_impl.h
+++ b/src/admission/controller_impl.h
@@ -37,6 +37,7 @@
   void on_client_disconnected(RequestId id, ActionSink& out);
 
   void on_stream_started(RequestId id, std::uint32_t index, ActionSink& out);
+  void on_stream_paused(RequestId id, std::uint32_t index, ActionSink& out);
   void on_attempt_end(const AttemptResult& result, ActionSink& out);
 
   HandoverSnapshot export_handover();
--- a/src/admission/pending_request.h
+++ b/src/admission/pending_request.h
@@ -17,9 +17,10 @@
   bool may_have_executed = true;
   bool never_sent = false;
   bool cancelled = false;
-  bool overdue = false;    // see OverdueDetector
-  bool failed = false;     // overdue for so long that it counts as a failure of its host
-  bool streaming = false;  // its response is being streamed; no longer counted as in flight at its host
+  bool overdue = false;        // see OverdueDetector
+  bool failed = false;         // overdue for so long that it counts as a failure of its host
+  bool streaming = false;      // its response is being streamed; no longer counted as in flight at its host
+  bool hedges_stream = false;  // sent as the host of a streamed response had paused
 };
 
 struct PendingRequest {
@@ -27,9 +28,10 @@
   ClassSettings class_settings;  // of its class at its arrival; later settings apply to later requests
   Ms arrived_at = 0;
   bool within_quota = false;
-  bool charged = false;    // its units were taken when its first attempt was sent
-  bool answered = false;   // answered or given up; kept until its attempts have ended
-  bool streaming = false;  // the response to one of its attempts is being streamed
+  bool charged = false;        // its units were taken when its first attempt was sent
+  bool answered = false;       // answered or given up; kept until its attempts have ended
+  bool streaming = false;      // the response to one of its attempts is being streamed
+  bool stream_paused = false;  // and its host has paused: another attempt may be sent
   std::vector<Attempt> attempts;
 
   bool was_sent_to(HostId host) const {
--- a/src/admission/retry_policy.cpp
+++ b/src/admission/retry_policy.cpp
@@ -11,7 +11,7 @@
 }  // namespace
 
 RetryConstraint<Attempt> RetryPolicy::constraint(const PendingRequest& pending, Ms now) const {
-  if (pending.answered || pending.streaming) return {AttemptVerdict::kAnswered};
+  if (pending.answered || (pending.streaming && !pending.stream_paused)) return {AttemptVerdict::kAnswered};
   if (now >= pending.request.expires_at) return {AttemptVerdict::kDeadlineExceeded};
   if (!has_attempts_left(pending, now)) return {AttemptVerdict::kTooManyAttempts};
   if (!may_hedge(pending.attempts, may_hedge_request(pending))) return {AttemptVerdict::kAttemptInFlight};
--- a/src/engine/attempt_runner.cpp
+++ b/src/engine/attempt_runner.cpp
@@ -102,7 +102,7 @@
   if (!request) return;
   for (std::uint32_t i = 0; i < request->attempts.size(); ++i) {
     const Attempt& attempt = request->attempts[i];
-    if (!attempt.in_flight || now < attempt.expires_at || request->streaming_attempt == i) continue;
+    if (!attempt.in_flight || now < attempt.expires_at || request->streams_from(i)) continue;
     const bool host_at_fault = request->upstream->abandon(now, attempt.id);
     end(now, id, i, host_at_fault ? Outcome::kTimedOut : Outcome::kCancelled, {});
   }
--- a/src/engine/controller_policy.h
+++ b/src/engine/controller_policy.h
@@ -27,6 +27,9 @@
   void on_stream_started(Ms now, RequestId request, std::uint32_t attempt, ActionSink& out) override {
     controller_.on_stream_started(now, request, attempt, out);
   }
+  void on_stream_paused(Ms now, RequestId request, std::uint32_t attempt, ActionSink& out) override {
+    controller_.on_stream_paused(now, request, attempt, out);
+  }
   void on_client_disconnected(Ms now, RequestId request, ActionSink& out) override {
     controller_.on_client_disconnected(now, request, out);
   }
--- a/src/engine/downstream_handler.h
+++ b/src/engine/downstream_handler.h
@@ -28,6 +28,9 @@
   virtual void on_value_started(Ms, ResponseHandle, std::size_t) {}
   virtual bool on_value_chunk(Ms, ResponseHandle, std::string_view) { return true; }
   virtual void on_value_finished(Ms, ResponseHandle) {}
+  // Drops what has come of the value if the client has received nothing of it, and returns whether that was
+  // so. Another value, or one of the calls above, may then follow.
+  virtual bool on_value_withdrawn(Ms, ResponseHandle) { return false; }
 
   // Whether the client has closed its connection although `Engine::on_client_disconnected` has not been
   // called yet: after a pause of the process, the close may be queued behind other events. Checked before an
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -147,8 +147,7 @@
   const auto ref = requests_.find_attempt(attempt);
   if (!ref) return;
   if (replies_.is_streaming(ref->request)) {
-    const bool own_value = requests_.find(ref->request)->streaming_attempt == ref->index;
-    if (own_value) replies_.finish_value(now, ref->request, outcome);
+    end_value(now, *ref, outcome, value);
   } else if (outcome == Outcome::kOk) {
     replies_.serve(now, ref->request, value);
   }
@@ -156,6 +155,20 @@
   process_pending();
 }
 
+// An attempt of a request has ended whose reply is being streamed. If the host of that value had paused, the
+// value is kept as long as another attempt may still continue or replace it.
+void Engine::end_value(Ms now, RequestTable::AttemptRef ref, Outcome outcome, std::string_view value) {
+  const PendingRequest& request = *requests_.find(ref.request);
+  if (request.streams_from(ref.index)) {
+    const bool others_may_continue = request.value->paused() && request.in_flight_count > 1;
+    if (outcome == Outcome::kOk || !others_may_continue) replies_.finish_value(now, ref.request, outcome);
+    return;
+  }
+  // A streamed value is empty here; this one is short.
+  const bool can_serve = outcome == Outcome::kOk && !value.empty() && request.value->paused();
+  if (can_serve && replies_.withdraw_value(now, ref.request)) replies_.serve(now, ref.request, value);
+}
+
 void Engine::on_final_attempt_end(Ms now, AttemptId attempt, Outcome outcome, const LoadReport& load) {
   now_ = now;
   const auto ref = requests_.find_attempt(attempt);
@@ -178,7 +191,33 @@
 bool Engine::on_value_chunk(Ms now, AttemptId attempt, std::string_view chunk) {
   now_ = now;
   const auto ref = requests_.find_attempt(attempt);
-  return !ref || replies_.append_value(now, ref->request, ref->index, chunk);
+  if (!ref) return true;
+  const auto result = replies_.append_value(now, ref->request, ref->index, chunk);
+  if (result.took_over) {
+    policy_.call(ref->request, [&](AdmissionPolicy& policy) {
+      policy.on_stream_started(now, ref->request, ref->index, *this);
+    });
+    process_pending();
+  }
+  return result.wants_more;
+}
+
+void Engine::on_value_paused(Ms now, AttemptId attempt) {
+  now_ = now;
+  const auto ref = requests_.find_attempt(attempt);
+  if (!ref) return;
+  PendingRequest* const request = requests_.find(ref->request);
+  if (request->answered || !request->streams_from(ref->index)) return;
+  ++metrics_.values.pauses;
+  request->value->set_paused();
+  if (now >= request->expires_at) {
+    expire(ref->request);
+  } else {
+    policy_.call(ref->request, [&](AdmissionPolicy& policy) {
+      policy.on_stream_paused(now, ref->request, ref->index, *this);
+    });
+  }
+  process_pending();
 }
 
 // ---- consequences of an event ----
@@ -206,10 +245,18 @@
 void Engine::report_attempt_ends() {
   while (const auto end = runner_.pop_unreported_end(now_)) {
     policy_.call(end->request, [&](AdmissionPolicy& policy) { policy.on_attempt_end(now_, *end, *this); });
+    fail_interrupted_value(end->request);
     requests_.erase_if_done(end->request);
   }
 }
 
+// No attempt is left that could continue the value.
+void Engine::fail_interrupted_value(RequestId id) {
+  const PendingRequest* const request = requests_.find(id);
+  if (!request || request->answered || !request->value || request->in_flight_count > 0) return;
+  replies_.finish_value(now_, id, Outcome::kConnectionLost);
+}
+
 // Fails a request on which the policy threw if no attempt is left that could answer it. It fails at once
 // rather than at its deadline, so that its client can retry sooner, and the policy is told that the client
 // disconnected, so that it forgets the request.
@@ -228,14 +275,19 @@
 // ---- time ----
 
 // The deadline of a request or of one of its attempts has passed. Usually a timer of the policy has answered
-// the request before that.
+// the request before that. A value is bound by the deadline only if its host has paused and the client has
+// received nothing of it.
 void Engine::expire(RequestId id) {
-  if (!requests_.contains(id)) return;
+  const PendingRequest* request = requests_.find(id);
+  if (!request) return;
+  const bool value_paused = now_ >= request->expires_at && request->value && request->value->paused();
+  const bool withdrawn = value_paused && !request->answered && replies_.withdraw_value(now_, id);
   runner_.abandon_overdue(now_, id);
   report_attempt_ends();
-  const PendingRequest* const request = requests_.find(id);
-  if (!request || request->streaming_attempt || now_ < request->expires_at) return;
-  if (!request->answered) logger_("a request failed at its deadline without a decision by the policy", "");
+  request = requests_.find(id);
+  if (!request || request->value || now_ < request->expires_at) return;
+  if (!request->answered && !withdrawn)
+    logger_("a request failed at its deadline without a decision by the policy", "");
   replies_.fail(now_, id, FailureReason::kTimedOut);
 }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -68,11 +68,15 @@
                       const LoadReport& load);
 
   // A long value of an attempt has started, and each of its chunks; `on_attempt_end` ends it. Once started,
-  // the value is the request's reply: no other attempt's value is used, the deadline no longer applies (the
-  // transport must end a stream that stalls), and the request can't be rejected. `on_value_chunk` returns
-  // false if no more may follow until `UpstreamTransport::resume`.
+  // the value is the request's reply: no other attempt's value is used unless its host pauses, the deadline
+  // no longer applies once the client has received some of it (the transport must end a stream that stalls),
+  // and the request can't be rejected. `on_value_chunk` returns false if no more may follow until
+  // `UpstreamTransport::resume`.
   void on_value_started(Ms now, AttemptId attempt, std::size_t size);
   bool on_value_chunk(Ms now, AttemptId attempt, std::string_view chunk);
+  // Nothing has come of an attempt's value for a while. The policy may send another attempt. Its value, or
+  // its rest, is passed on instead if the client then receives that host's whole value (see `StreamedValue`).
+  void on_value_paused(Ms now, AttemptId attempt);
   // The client can take more of this request's value.
   void on_client_writable(Ms now, RequestId request_id);
 
@@ -104,6 +108,7 @@
   const RejectionMetrics& rejection_metrics() const { return metrics_.rejections; }
   const RuleMetrics& rule_metrics() const { return metrics_.rules; }
   const AttemptMetrics& attempt_metrics() const { return metrics_.attempts; }
+  const ValueMetrics& value_metrics() const { return metrics_.values; }
 
   // The settings that are enforced on attempts and rejections of requests accepted from now on. Until the
   // first call only deadlines, replies and the host list are enforced.
@@ -139,6 +144,8 @@
   void report_attempt_ends();
   void fail_if_unanswerable(RequestId id);
   void expire(RequestId id);
+  void end_value(Ms now, RequestTable::AttemptRef ref, Outcome outcome, std::string_view value);
+  void fail_interrupted_value(RequestId id);
 
   EngineLogger logger_;
   EngineLimits limits_;
--- a/src/engine/metrics.h
+++ b/src/engine/metrics.h
@@ -40,11 +40,20 @@
   std::uint64_t attempts = 0;  // attempts written completely to hosts
 };
 
+// Streamed values whose hosts paused.
+struct ValueMetrics {
+  std::uint64_t pauses = 0;     // noticed, once for each interval that a pause lasts
+  std::uint64_t continued = 0;  // from another host, behind the bytes that were passed on
+  std::uint64_t replaced = 0;   // by another host's, as the client had received nothing
+  std::uint64_t differed = 0;   // another host's value could not continue it
+};
+
 struct EngineMetrics {
   std::vector<ClassMetrics> by_class;  // bounded by the classes that the front ends know
   RejectionMetrics rejections;
   RuleMetrics rules;
   AttemptMetrics attempts;
+  ValueMetrics values;
 
   ClassMetrics& of_class(std::uint32_t class_index) {
     if (class_index >= by_class.size()) by_class.resize(class_index + 1);
--- a/src/engine/reply_dispatcher.cpp
+++ b/src/engine/reply_dispatcher.cpp
@@ -83,21 +83,57 @@
 
 bool ReplyDispatcher::is_streaming(RequestId id) const {
   const PendingRequest* const request = requests_.find(id);
-  return request && request->streaming_attempt;
+  return request && request->value;
 }
 
 bool ReplyDispatcher::start_value(Ms now, RequestId id, std::uint32_t attempt, std::size_t size) {
   PendingRequest* const request = requests_.find(id);
-  if (!request || request->answered || request->streaming_attempt) return false;
-  request->streaming_attempt = attempt;
+  if (!request || request->answered) return false;
+  if (request->value) {
+    if (!request->value->paused()) return false;
+    if (!withdraw_value(now, id)) {
+      if (!request->value->add_candidate(attempt, size)) ++metrics_.values.differed;
+      return false;
+    }
+    ++metrics_.values.replaced;
+  }
+  request->value.emplace(attempt, size);
   request->handler->on_value_started(now, request->response, size);
   return true;
 }
 
-bool ReplyDispatcher::append_value(Ms now, RequestId id, std::uint32_t attempt, std::string_view chunk) {
-  const PendingRequest* const request = requests_.find(id);
-  if (!request || request->answered || request->streaming_attempt != attempt) return true;
-  return request->handler->on_value_chunk(now, request->response, chunk);
+bool ReplyDispatcher::withdraw_value(Ms now, RequestId id) {
+  PendingRequest* const request = requests_.find(id);
+  if (!request || !request->value || !request->handler->on_value_withdrawn(now, request->response)) {
+    return false;
+  }
+  request->value.reset();
+  return true;
+}
+
+ReplyDispatcher::ChunkResult ReplyDispatcher::append_value(Ms now, RequestId id, std::uint32_t attempt,
+                                                           std::string_view chunk) {
+  PendingRequest* const request = requests_.find(id);
+  if (!request || request->answered || !request->value) return {};
+  ChunkResult result;
+  if (!request->streams_from(attempt)) {
+    if (!request->value->is_candidate(attempt)) return {};
+    const auto rest = compare_with_value(*request, chunk);
+    if (!rest) return {};
+    result.took_over = true;
+    chunk = *rest;
+  }
+  request->value->pass_on(chunk);
+  result.wants_more = request->handler->on_value_chunk(now, request->response, chunk);
+  return result;
+}
+
+std::optional<std::string_view> ReplyDispatcher::compare_with_value(PendingRequest& request,
+                                                                    std::string_view chunk) {
+  const auto rest = request.value->compare(chunk);
+  if (rest) ++metrics_.values.continued;
+  if (!rest && !request.value->has_candidate()) ++metrics_.values.differed;
+  return rest;
 }
 
 void ReplyDispatcher::finish_value(Ms now, RequestId id, Outcome outcome) {
@@ -109,8 +145,8 @@
 
 void ReplyDispatcher::resume_value(Ms now, RequestId id) {
   const PendingRequest* const request = requests_.find(id);
-  if (!request || !request->streaming_attempt) return;
-  const Attempt& attempt = request->attempts[*request->streaming_attempt];
+  if (!request || !request->value) return;
+  const Attempt& attempt = request->attempts[request->value->source()];
   if (attempt.in_flight) request->upstream->resume(now, attempt.id);
 }
 
--- a/src/engine/reply_dispatcher.h
+++ b/src/engine/reply_dispatcher.h
@@ -30,11 +30,16 @@
 
   // Whether a value has started for the request. It is the reply, whatever the policy decides afterwards.
   bool is_streaming(RequestId id) const;
-  // Returns false if the request has its reply, or another attempt's value is being streamed; this attempt's
-  // chunks are then discarded.
+  // Returns whether the value of this attempt is passed on from now on. If another one's is and its host has
+  // paused, this one takes its place if the client has received nothing, and is else compared with it.
   bool start_value(Ms now, RequestId id, std::uint32_t attempt, std::size_t size);
-  // Returns false if no more may follow until the client can take more.
-  bool append_value(Ms now, RequestId id, std::uint32_t attempt, std::string_view chunk);
+  struct ChunkResult {
+    bool wants_more = true;  // otherwise no more may follow until the client can take more
+    bool took_over = false;  // the value of this attempt is passed on from now on
+  };
+  ChunkResult append_value(Ms now, RequestId id, std::uint32_t attempt, std::string_view chunk);
+  // Forgets the value if the client has received nothing of it. Returns whether that was so.
+  bool withdraw_value(Ms now, RequestId id);
   void finish_value(Ms now, RequestId id, Outcome outcome);
   void resume_value(Ms now, RequestId id);
 
@@ -48,6 +53,7 @@
   void count(Ms now, RequestId id, const PendingRequest& request, Result result,
              std::optional<RejectionReason> reason);
   void count_reason(RequestId id, RejectionReason reason);
+  std::optional<std::string_view> compare_with_value(PendingRequest& request, std::string_view chunk);
 
   RequestTable& requests_;
   EngineMetrics& metrics_;
--- a/src/engine/request_table.h
+++ b/src/engine/request_table.h
@@ -14,6 +14,7 @@
 #include "engine/digest.h"
 #include "engine/downstream_handler.h"
 #include "engine/request.h"
+#include "engine/streamed_value.h"
 #include "engine/upstream_transport.h"
 
 namespace cometfold::engine {
@@ -39,15 +40,17 @@
   Ms expires_at = 0;
   std::uint64_t identity = 0;
   std::uint32_t class_index = 0;
-  std::optional<ClassSettings> class_settings;     // at its acceptance; if empty, no attempt rules apply
-  bool answered = false;                           // has its final reply, or its client has disconnected
-  std::optional<std::uint32_t> streaming_attempt;  // the attempt whose value is the reply being streamed
+  std::optional<ClassSettings> class_settings;  // at its acceptance; if empty, no attempt rules apply
+  bool answered = false;                        // has its final reply, or its client has disconnected
+  std::optional<StreamedValue> value;           // the reply, if it is being streamed
   std::vector<Attempt> attempts;
   std::size_t in_flight_count = 0;
   std::size_t unreported_end_count = 0;  // ended attempts that the policy has not been notified of
 
   // Whether the client has closed its connection before it had its reply.
   bool client_disconnected() const { return !answered && handler->client_disconnected(response); }
+  // The value of this attempt is being passed on to the client.
+  bool streams_from(std::uint32_t attempt) const { return value && value->source() == attempt; }
 };
 
 // Pointers to entries stay valid until the entry is erased.
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -204,6 +204,11 @@
   if (auto* connection = find(handle)) connection->finish_value(now, handle.sequence);
 }
 
+bool ClientServer::withdraw_value(Ms now, ResponseHandle handle) {
+  auto* connection = find(handle);
+  return connection && connection->withdraw_value(now, handle.sequence);
+}
+
 bool ClientServer::client_disconnected(ResponseHandle handle) {
   auto* connection = find(handle);
   return !connection || connection->client_disconnected();
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -63,6 +63,7 @@
   void start_value(Ms now, ResponseHandle handle, std::size_t size) override;
   bool append_value(Ms now, ResponseHandle handle, std::string_view bytes) override;
   void finish_value(Ms now, ResponseHandle handle) override;
+  bool withdraw_value(Ms now, ResponseHandle handle) override;
   bool client_disconnected(ResponseHandle handle) override;
   bool has_reply_capacity(ResponseHandle) override { return totals_.memory.admits_command(); }
 
--- a/src/net/decision_log.h
+++ b/src/net/decision_log.h
@@ -33,6 +33,9 @@
   void on_stream_started(Ms now, RequestId request, std::uint32_t attempt, ActionSink& out) override {
     policy_.on_stream_started(now, request, attempt, out);
   }
+  void on_stream_paused(Ms now, RequestId request, std::uint32_t attempt, ActionSink& out) override {
+    policy_.on_stream_paused(now, request, attempt, out);
+  }
   void on_client_disconnected(Ms now, RequestId request, ActionSink& out) override {
     policy_.on_client_disconnected(now, request, out);
   }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -143,6 +143,17 @@
   arm_timer();
 }
 
+bool Gateway::on_value_chunk(Ms now, AttemptId attempt, std::string_view bytes) {
+  const bool wants_more = engine_.on_value_chunk(now, attempt, bytes);
+  arm_timer();
+  return wants_more;
+}
+
+void Gateway::on_value_paused(Ms now, AttemptId attempt) {
+  engine_.on_value_paused(now, attempt);
+  arm_timer();
+}
+
 // ---- timers ----
 
 void Gateway::arm_timer() {
@@ -294,6 +305,7 @@
                               .rejections = engine_.rejection_metrics(),
                               .rules = engine_.rule_metrics(),
                               .attempts = engine_.attempt_metrics(),
+                              .values = engine_.value_metrics(),
                               .closed = closed_connections(clients_.totals()),
                               .forbidden_closes = clients_.totals().forbidden_closes,
                               .memory = memory_metrics(clients_.totals()),
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -74,9 +74,8 @@
   void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
                       std::string_view report) override;
   void on_value_started(Ms now, AttemptId attempt, std::size_t size) override;
-  bool on_value_chunk(Ms now, AttemptId attempt, std::string_view bytes) override {
-    return engine_.on_value_chunk(now, attempt, bytes);
-  }
+  bool on_value_chunk(Ms now, AttemptId attempt, std::string_view bytes) override;
+  void on_value_paused(Ms now, AttemptId attempt) override;
   void on_attempt_written(AttemptId attempt) override { engine_.on_written(attempt); }
   std::optional<Ms> may_write(Ms now, AttemptId attempt, bool begun) override {
     return engine_.may_write(now, attempt, begun);
--- a/src/net/upstream_hosts.cpp
+++ b/src/net/upstream_hosts.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr auto kSweepInterval = std::chrono::milliseconds(500);
+constexpr auto kPauseCheckInterval = std::chrono::milliseconds(100);
+constexpr int kChecksPerSweep = 5;
 
 }  // namespace
 
@@ -23,8 +24,13 @@
 }
 
 void UpstreamHosts::sweep() {
-  pool_.sweep(clock_.now());
-  sweep_timer_.expires_after(kSweepInterval);
+  const Ms now = clock_.now();
+  pool_.notice_pauses(now);
+  if (checks_until_sweep_-- == 0) {
+    checks_until_sweep_ = kChecksPerSweep - 1;
+    pool_.sweep(now);
+  }
+  sweep_timer_.expires_after(kPauseCheckInterval);
   sweep_timer_.async_wait([this](boost::system::error_code cancelled) {
     if (!cancelled) sweep();
   });
--- a/src/net/upstream_hosts.h
+++ b/src/net/upstream_hosts.h
@@ -34,6 +34,7 @@
   TcpDialer dialer_;
   resp::HostPool pool_;
   boost::asio::steady_timer sweep_timer_;
+  int checks_until_sweep_ = 0;
 };
 
 }  // namespace cometfold::net
--- a/src/ops/metrics.cpp
+++ b/src/ops/metrics.cpp
@@ -85,6 +85,13 @@
   out.count("attempts.repeats", attempts.retries);
 }
 
+void render_values(const engine::ValueMetrics& values, Renderer& out) {
+  out.count("values.pauses", values.pauses);
+  out.count("values.continued", values.continued);
+  out.count("values.replaced", values.replaced);
+  out.count("values.differed", values.differed);
+}
+
 void render_memory(const MemoryMetrics& memory, Renderer& out) {
   out.gauge("memory.limit", memory.limit);
   out.gauge("memory.replies", memory.replies);
@@ -113,6 +120,7 @@
   render_rejections(metrics.rejections, out);
   render_rules(metrics, out);
   render_attempts(metrics.attempts, out);
+  render_values(metrics.values, out);
   for (const auto& [reason, value] : metrics.closed) out.count(joined("closed.", reason), value);
   render_memory(metrics.memory, out);
   if (metrics.peers) render_peers(*metrics.peers, out);
--- a/src/ops/metrics.h
+++ b/src/ops/metrics.h
@@ -38,6 +38,7 @@
   engine::RejectionMetrics rejections = {};
   engine::RuleMetrics rules = {};
   engine::AttemptMetrics attempts = {};
+  engine::ValueMetrics values = {};
   std::vector<std::pair<std::string_view, std::uint64_t>> closed = {};  // clients' connections, by reason
   // Connections that were to be closed although the rules forbid it. Each is a bug of the gateway.
   std::uint64_t forbidden_closes = 0;
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -63,12 +63,16 @@
   void send_reply(Ms now, std::uint64_t sequence, std::string_view reply);
   // Streams a value of `size` bytes in chunks instead of `send_reply`. `append_value` returns false if the
   // bytes are accepted but no more are wanted until `ClientConnectionCallbacks::on_client_writable`.
-  // A value that is the next reply is held back for a while if other replies wait behind it.
+  // A value that is the next reply is held back for a while if other replies wait behind it, and longer while
+  // nothing of it comes.
   // `send_reply` before `finish_value` aborts the value: if part of it is in the output already, the
   // connection is closed once that is written, so that the client notices; replies behind it are lost.
   void start_value(Ms now, std::uint64_t sequence, std::size_t size);
   bool append_value(Ms now, std::uint64_t sequence, std::string_view bytes);
   void finish_value(Ms now, std::uint64_t sequence);
+  // Drops the value, if nothing of it is in the output, and returns whether that was so. Another value or a
+  // reply must follow.
+  bool withdraw_value(Ms now, std::uint64_t sequence);
   // Sends an error line for a command that is not a valid request. After too many of them in a row nothing
   // more is read, and the connection is closed once the commands that were read have their replies.
   void send_error(Ms now, std::uint64_t sequence, std::string_view message);
@@ -167,6 +171,7 @@
   Ms last_progress_ = 0;
   std::uint64_t last_used_ = 0;
   Ms value_held_until_ = 0;               // if the first reply is a streamed value that is not begun
+  Ms value_arrived_at_ = 0;               // the last bytes of that value
   std::size_t consecutive_errors_ = 0;    // of commands that were not valid requests
   std::size_t unacknowledged_bytes_ = 0;  // when they were last looked at
 
--- a/src/resp/client_connection_values.cpp
+++ b/src/resp/client_connection_values.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxScarceValueAheadBytes = std::size_t{4} * 1024;
 // A value is held for at most this time while replies wait behind it. Holding one back for 2 s would fail it.
 constexpr Ms kMaxValueHoldMs = 1'500;
+// A host that has sent nothing of a value for this long has paused.
+constexpr Ms kHostPauseMs = 1'000;
 // A held value is begun this long before its request's deadline, as the end of the hold is noticed in sweeps.
 constexpr Ms kValueDeadlineMarginMs = 250;
 
@@ -34,6 +36,7 @@
   const bool commands_wait = (paused_ || dispatching_) && !input_.empty();
   const bool others_wait = replies_.size() > 1 || commands_wait;
   const Ms deadline = replies_.first().command.expires_at - kValueDeadlineMarginMs;
+  value_arrived_at_ = now;
   value_held_until_ = others_wait ? std::min(now + kMaxValueHoldMs, deadline) : now;
   paused_ = true;
   input_.set_more_available();
@@ -41,9 +44,11 @@
   begin_value_if_due(now);
 }
 
-// If the value breaks once it is begun, the replies behind it are lost with the connection.
+// If the value breaks once it is begun, the replies behind it are lost with the connection. So a value whose
+// host has paused is not begun before its next bytes come, however long it has been held.
 bool ClientConnection::must_hold_value(Ms now) const {
-  return totals_.memory.may_hold_values() && now < value_held_until_;
+  if (!totals_.memory.may_hold_values()) return false;
+  return now < value_held_until_ || now - value_arrived_at_ >= kHostPauseMs;
 }
 
 void ClientConnection::begin_value_if_due(Ms now) {
@@ -61,7 +66,10 @@
     if (!dispatching_) write(now);
   } else {
     replies_.buffer(*slot, bytes);
-    if (replies_.is_first(sequence)) begin_value_if_due(now);
+    if (replies_.is_first(sequence)) {
+      value_arrived_at_ = now;
+      begin_value_if_due(now);
+    }
   }
   slot->awaits_capacity = value_bytes_ahead(*slot, replies_.is_first(sequence)) >= max_value_bytes_ahead();
   return !slot->awaits_capacity;
@@ -89,6 +97,15 @@
   complete_first_reply(now, command, {});
 }
 
+bool ClientConnection::withdraw_value(Ms, std::uint64_t sequence) {
+  ReplySlot* slot = find_incomplete(sequence);
+  if (!slot || !slot->streamed || slot->begun) return false;
+  replies_.clear_buffer(*slot);
+  slot->streamed = false;
+  slot->awaits_capacity = false;
+  return true;
+}
+
 void ClientConnection::notify_capacity(Ms now) {
   if (closed_ || replies_.empty() || !replies_.first().awaits_capacity) return;
   if (replies_.first().begun && replies_.unwritten_size() >= max_value_bytes_ahead() / 2) return;
--- a/src/resp/host_connection.cpp
+++ b/src/resp/host_connection.cpp
@@ -85,8 +85,10 @@
   process_input(now);
 }
 
-void HostConnection::resume() {
+// The time in which the client took nothing does not count as a pause of the host.
+void HostConnection::resume(Ms now) {
   if (closed_ || !std::exchange(reads_paused_, false)) return;
+  last_chunk_at_ = now;
   read();
 }
 
@@ -95,6 +97,13 @@
          now - last_chunk_at_ > context_.limits.stall_timeout_ms;
 }
 
+bool HostConnection::take_pause_notice(Ms now) {
+  if (!value_started_ || reads_paused_ || closed_) return false;
+  if (now - std::max(last_chunk_at_, pause_noticed_at_) < context_.limits.pause_notice_ms) return false;
+  pause_noticed_at_ = now;
+  return true;
+}
+
 void HostConnection::on_writable(Ms now, bool ok) {
   write_blocked_ = false;
   if (closed_) return;
--- a/src/resp/host_connection.h
+++ b/src/resp/host_connection.h
@@ -35,7 +35,7 @@
   // Closes the connection without reporting the end of an attempt.
   void close();
   // Resumes reading, as there is capacity for a streamed value again, or may be memory.
-  void resume();
+  void resume(Ms now);
   // The rest of a reply is left unread, as there is no memory for a larger buffer.
   bool waits_for_memory() const { return reads_paused_ && !value_started_; }
 
@@ -50,6 +50,9 @@
   Ms idle_since() const { return idle_since_; }
   // The host has stopped sending in the middle of a streamed value.
   bool stalled(Ms now) const;
+  // Whether the owner is to be notified that the host pauses in the middle of a streamed value: once for each
+  // `HostPoolLimits::pause_notice_ms` that the pause lasts.
+  bool take_pause_notice(Ms now);
 
   void on_connected(Ms now, bool up) override;
   void on_read(Ms now, std::size_t bytes, bool ended) override;
@@ -86,6 +89,7 @@
   std::size_t counted_buffer_bytes_ = 0;  // that the memory budget includes
   Ms idle_since_ = 0;
   Ms last_chunk_at_ = 0;  // time of the last chunk of a streamed value
+  Ms pause_noticed_at_ = 0;
   bool connected_ = false;
   bool closed_ = false;
   bool write_blocked_ = false;  // awaiting `on_writable`
--- a/src/resp/host_pool.cpp
+++ b/src/resp/host_pool.cpp
@@ -133,11 +133,11 @@
   return true;
 }
 
-void HostPool::resume(Ms, AttemptId attempt) {
+void HostPool::resume(Ms now, AttemptId attempt) {
   const auto it = context_.attempts.find(attempt);
   if (it == context_.attempts.end()) return;
   const ConnectionPtr connection = it->second;  // kept alive while it reads
-  connection->resume();
+  connection->resume(now);
 }
 
 void HostPool::end_stalled_attempts(Ms now) {
@@ -152,18 +152,27 @@
   }
 }
 
-void HostPool::resume_reads() {
+// The owner may start and end attempts when it is notified.
+void HostPool::notice_pauses(Ms now) {
+  std::vector<AttemptId> paused;
+  for (const auto& [attempt, connection] : context_.attempts) {
+    if (connection->take_pause_notice(now)) paused.push_back(attempt);
+  }
+  for (const AttemptId attempt : paused) context_.callbacks.on_value_paused(now, attempt);
+}
+
+void HostPool::resume_reads(Ms now) {
   std::vector<ConnectionPtr> waiting;
   for (const auto& [attempt, connection] : context_.attempts) {
     if (connection->waits_for_memory()) waiting.push_back(connection);
   }
-  for (const ConnectionPtr& connection : waiting) connection->resume();
+  for (const ConnectionPtr& connection : waiting) connection->resume(now);
 }
 
 void HostPool::sweep(Ms now) {
   for (const auto& [host, pool] : active_pools_) pool->close_expired(now, max_idle_ms());
   end_stalled_attempts(now);
-  resume_reads();
+  resume_reads(now);
   while (context_.connection_count > context_.limits.max_connections && close_oldest_idle()) {
   }
   std::erase_if(retired_pools_, [](const auto& entry) { return entry.second->connection_count() == 0; });
--- a/src/resp/host_pool.h
+++ b/src/resp/host_pool.h
@@ -49,6 +49,8 @@
   // Closes expired idle connections, ends stalled streamed values, resumes reads that waited for memory and
   // removes retired hosts without connections. Must be called a few times per second.
   void sweep(Ms now);
+  // Notifies the owner of streamed values whose hosts pause. Must be called every 100 ms or so.
+  void notice_pauses(Ms now);
   void close_all();
 
   std::size_t connection_count() const { return context_.connection_count; }
@@ -63,7 +65,7 @@
   ConnectionPtr connect(const std::shared_ptr<SingleHostPool>& pool);
   bool close_oldest_idle();
   void end_stalled_attempts(Ms now);
-  void resume_reads();
+  void resume_reads(Ms now);
   Ms max_idle_ms() const;
 
   HostPoolContext context_;
--- a/src/resp/host_pool_context.h
+++ b/src/resp/host_pool_context.h
@@ -30,6 +30,8 @@
   // `HostPool::resume`.
   virtual void on_value_started(Ms, AttemptId, std::size_t) {}
   virtual bool on_value_chunk(Ms, AttemptId, std::string_view) { return true; }
+  // Nothing of a streamed value has come for a while; called again while that goes on.
+  virtual void on_value_paused(Ms, AttemptId) {}
   // Asked before writing bytes of an attempt that could not be written when it was started: its first one, or
   // with `begun` the rest. Returns the milliseconds that the attempt may still take, or nothing if it must
   // not be written: it then ends with `kNotSent`.
@@ -47,7 +49,9 @@
   std::size_t max_idle_per_host = 16;
   Ms reuse_delay_ms = 0;  // after a reply, before the connection is reused
   std::size_t max_value_bytes = std::size_t{4} * 1024 * 1024;  // values above 64 KiB are streamed
-  Ms stall_timeout_ms = 10'000;                                // without progress of a streamed value
+  // Without progress of a streamed value: until the owner is notified, and until the attempt is ended.
+  Ms pause_notice_ms = 1'000;
+  Ms stall_timeout_ms = 10'000;
 };
 
 using HostPoolLog = std::function<void(std::string_view event, std::string_view detail)>;
--- a/src/resp/resp_handler.h
+++ b/src/resp/resp_handler.h
@@ -28,6 +28,7 @@
   virtual void start_value(Ms now, ResponseHandle handle, std::size_t size) = 0;
   virtual bool append_value(Ms now, ResponseHandle handle, std::string_view bytes) = 0;
   virtual void finish_value(Ms now, ResponseHandle handle) = 0;
+  virtual bool withdraw_value(Ms, ResponseHandle) { return false; }
   // Whether the client has closed its connection, even if that has not been reported yet.
   virtual bool client_disconnected(ResponseHandle) { return false; }
   // Whether there is memory for the reply.
@@ -66,6 +67,9 @@
     return replies_.append_value(now, handle, bytes);
   }
   void on_value_finished(Ms now, ResponseHandle handle) override { replies_.finish_value(now, handle); }
+  bool on_value_withdrawn(Ms now, ResponseHandle handle) override {
+    return replies_.withdraw_value(now, handle);
+  }
   bool client_disconnected(ResponseHandle handle) override { return replies_.client_disconnected(handle); }
   bool has_reply_capacity(ResponseHandle handle) override { return replies_.has_reply_capacity(handle); }
 
--- a/tests/admission/invariants_test.cpp
+++ b/tests/admission/invariants_test.cpp
@@ -133,6 +133,56 @@
   EXPECT_GE(sends[2] + sends[3], 30);
 }
 
+// Guards against effects that happen twice, and values that are cut, as a host pauses in a long response: it
+// is hedged as its class, the settings and the number of attempts permit, and goes on.
+TEST(PausedStreams, AreHedgedAsTheRulesPermit) {
+  struct Case {
+    Idempotency idempotency;
+    bool hedging_allowed;
+    double max_attempts;
+    bool hedged;
+  };
+  for (const Case& expected :
+       {Case{Idempotency::kIdempotent, true, 4, true}, Case{Idempotency::kIdempotencyKey, true, 4, true},
+        Case{Idempotency::kNonIdempotent, true, 4, false}, Case{Idempotency::kIdempotent, false, 4, false},
+        Case{Idempotency::kIdempotent, true, 1, false}}) {
+    auto settings = plain_settings();
+    settings.classes[0].idempotency = expected.idempotency;
+    settings.classes[0].idempotency_scope = IdempotencyScope::kAll;
+    settings.classes[0].idempotency_key_ttl_ms = 60'000;
+    settings.hedging_allowed = expected.hedging_allowed;
+    settings.max_attempts = expected.max_attempts;
+    Gateway gateway(settings);
+    ASSERT_TRUE(gateway.submit(1));
+    const HostId first = gateway.sink.find(RecordedAction::kSend, 1)->host;
+    gateway.now += 20;
+    gateway.controller.on_stream_started(gateway.now, 1, 0, gateway.sink);
+    gateway.sink.take();
+    gateway.now += 1000;
+    for (int i = 0; i < 2; ++i) gateway.controller.on_stream_paused(gateway.now, 1, 0, gateway.sink);
+    EXPECT_EQ(gateway.sink.count(RecordedAction::kSend), expected.hedged ? 1u : 0u);
+    EXPECT_EQ(gateway.sink.count(RecordedAction::kCancel), 0u);
+    if (!expected.hedged) continue;
+    const HostId second = gateway.sink.find(RecordedAction::kSend, 1)->host;
+    EXPECT_NE(second, first);
+    const AttemptResult unused{1, 1, second, Outcome::kOk, 50, false, {}, {}};  // the first one goes on
+    gateway.controller.on_attempt_end(gateway.now, unused, gateway.sink);
+    EXPECT_EQ(gateway.sink.count(RecordedAction::kCancel), 0u);
+  }
+}
+
+TEST(PausedStreams, AreCancelledOnceAnotherHostContinues) {
+  Gateway gateway(plain_settings());
+  ASSERT_TRUE(gateway.submit(1));
+  gateway.controller.on_stream_started(gateway.now, 1, 0, gateway.sink);
+  gateway.now += 1000;
+  gateway.controller.on_stream_paused(gateway.now, 1, 0, gateway.sink);
+  gateway.sink.take();
+  gateway.controller.on_stream_started(gateway.now, 1, 1, gateway.sink);
+  ASSERT_EQ(gateway.sink.count(RecordedAction::kCancel), 1u);
+  EXPECT_EQ(gateway.sink.find(RecordedAction::kCancel, 1)->value, 0);
+}
+
 TEST(InvalidInput, UnknownAndMalformedEventsDoNothing) {
   Gateway gateway(plain_settings());
   constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -28,6 +28,8 @@
   std::function<void(ActionSink&)> disconnect_action;
   std::function<void(ActionSink&)> timer_action;
   std::function<void(ActionSink&)> start_action;
+  std::function<void(ActionSink&)> stream_paused_action;
+  std::vector<std::uint32_t> streams_started;
   std::function<void(const AttemptResult&, ActionSink&)> attempt_end_action;
   std::vector<AttemptResult> attempt_ends;
   int disconnect_count = 0;
@@ -40,6 +42,12 @@
     attempt_ends.push_back(result);
     if (attempt_end_action) attempt_end_action(result, out);
   }
+  void on_stream_started(Ms, RequestId, std::uint32_t attempt, ActionSink&) override {
+    streams_started.push_back(attempt);
+  }
+  void on_stream_paused(Ms, RequestId, std::uint32_t, ActionSink& out) override {
+    run(stream_paused_action, out);
+  }
   void on_client_disconnected(Ms, RequestId, ActionSink& out) override {
     ++disconnect_count;
     run(disconnect_action, out);
@@ -114,6 +122,21 @@
   using Replies = std::vector<std::string>;
 };
 
+// Records streamed values: what of them the client has received.
+struct StreamingHandler : RecordingHandler {
+  std::string received;
+  bool holds = false;  // the client receives nothing before the end
+  void on_value_started(Ms, ResponseHandle, std::size_t size) override {
+    received = std::to_string(size) + ":";
+  }
+  bool on_value_chunk(Ms, ResponseHandle, std::string_view bytes) override {
+    received += bytes;
+    return true;
+  }
+  void on_value_finished(Ms, ResponseHandle) override { replies.push_back(received); }
+  bool on_value_withdrawn(Ms, ResponseHandle) override { return holds; }
+};
+
 auto send_to(HostId host, RequestId request = 1) {
   return [=](ActionSink& out) { out.send(request, host, 0); };
 }
@@ -367,6 +390,116 @@
   }
 }
 
+// A request of which attempt 1 has streamed "abcd" of "abcdefgh" when its host paused, and attempt 2 is out.
+struct PausedValue : Fixture {
+  StreamingHandler client;
+  explicit PausedValue(bool holds = false) {
+    client.holds = holds;
+    policy.request_action = send_to(5);
+    policy.stream_paused_action = send_to(6);
+    IncomingRequest incoming;
+    incoming.timeout_ms = 100;
+    incoming.identity = 1;
+    incoming.payload = std::make_unique<TenBytePayload>();
+    engine.accept(0, client, {1, 1}, std::move(incoming), request_id);
+    engine.on_value_started(1, 1, 8);
+    engine.on_value_chunk(1, 1, "abcd");
+    engine.on_value_paused(2, 1);
+    EXPECT_EQ(transport.hosts[2], 6u);
+  }
+  void stream(Ms now, AttemptId attempt, const std::string& value, std::size_t step) {
+    engine.on_value_started(now, attempt, value.size());
+    for (std::size_t at = 0; at < value.size(); at += step) {
+      engine.on_value_chunk(now, attempt, std::string_view(value).substr(at, step));
+    }
+  }
+};
+
+// Guards against values that mix two hosts' bytes, or that lose or repeat some where another host continues.
+TEST(Engine, ContinuesAPausedValueWithAnotherHostsEqualOne) {
+  for (std::size_t step = 1; step <= 8; ++step) {
+    PausedValue f;
+    f.stream(3, 2, "abcdefgh", step);
+    EXPECT_EQ(f.policy.streams_started, (std::vector<std::uint32_t>{0, 1}));
+    f.engine.on_value_chunk(4, 1, "XXXX");  // the first host goes on too late
+    f.end_attempt(5, 2, Outcome::kOk);
+    f.end_attempt(6, 1, Outcome::kConnectionLost);
+    EXPECT_EQ(f.client.replies, Fixture::Replies{"8:abcdefgh"});
+    EXPECT_EQ(f.engine.value_metrics().continued, 1u);
+  }
+}
+
+TEST(Engine, DoesNotContinueAPausedValueWithADifferentOne) {
+  for (const std::string other : {"abcXefgh", "abcdefghi", "Xbcdefgh"}) {
+    for (std::size_t step = 1; step <= 8; ++step) {
+      PausedValue f;
+      f.stream(3, 2, other, step);
+      f.end_attempt(4, 2, Outcome::kOk);
+      EXPECT_TRUE(f.client.replies.empty());
+      f.engine.on_value_chunk(5, 1, "efgh");
+      f.end_attempt(5, 1, Outcome::kOk);
+      EXPECT_EQ(f.client.replies, Fixture::Replies{"8:abcdefgh"});
+      EXPECT_EQ(f.engine.value_metrics().differed, 1u);
+    }
+  }
+}
+
+TEST(Engine, AHostThatGoesOnMovesTheEndThatAnotherMustReach) {
+  PausedValue f;
+  f.engine.on_value_started(3, 2, 8);
+  f.engine.on_value_chunk(3, 2, "abc");
+  f.engine.on_value_chunk(4, 1, "ef");
+  f.engine.on_value_chunk(5, 2, "def");
+  f.engine.on_value_chunk(6, 2, "gh");
+  f.end_attempt(7, 2, Outcome::kOk);
+  EXPECT_EQ(f.client.replies, Fixture::Replies{"8:abcdefgh"});
+}
+
+// Guards against a request without a final reply, or with two, if the first host breaks meanwhile.
+TEST(Engine, APausedValueThatBreaksWaitsForTheOtherAttempt) {
+  PausedValue continued;
+  continued.end_attempt(3, 1, Outcome::kConnectionLost);
+  EXPECT_TRUE(continued.client.replies.empty());
+  continued.stream(4, 2, "abcdefgh", 3);
+  continued.end_attempt(5, 2, Outcome::kOk);
+  EXPECT_EQ(continued.client.replies, Fixture::Replies{"8:abcdefgh"});
+
+  PausedValue different;
+  different.stream(3, 2, "Xbcdefgh", 8);
+  different.end_attempt(4, 1, Outcome::kConnectionLost);
+  different.end_attempt(5, 2, Outcome::kOk);
+  EXPECT_EQ(different.client.replies.size(), 1u);
+  EXPECT_EQ(different.client.replies.at(0).substr(0, 6), "failed");
+  EXPECT_EQ(different.engine.open_count(), 0u);
+
+  PausedValue overdue;
+  overdue.end_attempt(3, 1, Outcome::kConnectionLost);
+  overdue.engine.run_timers(100);
+  EXPECT_EQ(overdue.client.replies.size(), 1u);
+  EXPECT_EQ(overdue.engine.open_count(), 0u);
+}
+
+TEST(Engine, ReplacesAPausedValueOfWhichTheClientHasNothing) {
+  PausedValue longer(true);
+  longer.stream(3, 2, "another value", 4);
+  longer.end_attempt(4, 2, Outcome::kOk);
+  EXPECT_EQ(longer.client.replies, Fixture::Replies{"13:another value"});
+  PausedValue shorter(true);
+  shorter.end_attempt(3, 2, Outcome::kOk, "short");
+  EXPECT_EQ(shorter.client.replies, Fixture::Replies{"served short"});
+}
+
+// Guards against requests that end long after their time, and against values that are cut by it.
+TEST(Engine, ADeadlineEndsAPausedValueOnlyIfTheClientHasNothing) {
+  for (const bool holds : {true, false}) {
+    PausedValue f(holds);
+    f.end_attempt(3, 2, Outcome::kOverloaded);
+    f.engine.run_timers(100);
+    EXPECT_EQ(f.client.replies.size(), holds ? 1u : 0u);
+    EXPECT_EQ(f.transport.in_flight.contains(1), !holds);
+  }
+}
+
 TEST(Engine, ServesTwoFrontEnds) {
   Fixture f;
   RecordingHandler other;
