The customers that a gateway remembers are bounded

Cause: customers are forgotten by time alone; nothing bounds how many come in that time.

Change: at most as many as fit an eighth of the memory; beyond that those idle longest are evicted, and a ceiling counts as empty since an eviction.

Result: CustomerQuotasTest.NewNamesEvictIdleCustomersButGrantNoCeilingTwice failed without the eviction (1,002 of at most 100) and passes.

--- a/include/cometfold/admission_controller.h
+++ b/include/cometfold/admission_controller.h
@@ -68,6 +68,7 @@
   double gateway_count = 1;
   std::uint32_t local_zone = 0;
   double max_request_units = 1;
+  double max_customers = 65'536;  // remembered; beyond them those that have been idle longest are evicted
   bool actual_units_reported = false;  // attempt results carry the units that a request cost
   bool hedging_allowed = false;
   bool cancellation_allowed = false;
--- a/src/admission/customer_quotas.cpp
+++ b/src/admission/customer_quotas.cpp
@@ -1,7 +1,9 @@
 #include "admission/customer_quotas.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 #include "admission/quota_overrun_estimator.h"
 
@@ -10,6 +12,7 @@
 
 constexpr Ms kCustomerIdleMs = 60'000;     // idle customers are evicted after this time
 constexpr Ms kArrivalMemoryMs = 1000;      // time constant of the arrivals that lending is based on
+constexpr double kKeptFraction = 0.9;      // of the maximum number of customers, when some are evicted
 constexpr double kRetainedFraction = 0.2;  // of each level at a hand-over, for requests still to arrive here
 
 }  // namespace
@@ -61,8 +64,9 @@
   customer.undivided_quota.scale_tokens(factor);
   for (auto& class_quota : customer.classes) class_quota.bucket.scale_tokens(factor);
   // The slice of a ceiling starts empty when the gateway starts, as the gateway may have granted all of it
-  // before a crash.
-  customer.ceiling.set_tokens(customer.ceiling.rate() * age(now) / 1000);
+  // before a crash. It may also be one of those that were evicted.
+  const Ms counted_since = std::max(started_at_, ceilings_forgotten_at_);
+  customer.ceiling.set_tokens(customer.ceiling.rate() * (now - counted_since) / 1000);
 }
 
 Customer* CustomerQuotas::find(CustomerId id) {
@@ -81,6 +85,26 @@
     customer.ceiling.refill(now);
     it = can_evict(customer, now) ? customers_.erase(it) : std::next(it);
   }
+  evict_excess(now);
+}
+
+// Evicts somewhat more than the excess, so that it is not done on each tick. The customers may come again:
+// their quotas are full then, which costs a little, and their ceilings must not be.
+void CustomerQuotas::evict_excess(Ms now) {
+  if (static_cast<double>(customers_.size()) <= settings_.max_customers) return;
+  std::vector<std::pair<Ms, CustomerId>> by_last_request;
+  for (const auto& [id, customer] : customers_) {
+    const double in_flight = customer.attempts_in_flight + customer.predecessor_attempts_in_flight;
+    if (in_flight <= 0) by_last_request.emplace_back(customer.last_request_at, id);
+  }
+  std::sort(by_last_request.begin(), by_last_request.end());
+  const auto kept = static_cast<std::size_t>(kKeptFraction * settings_.max_customers);
+  const std::size_t excess = std::min(customers_.size() - kept, by_last_request.size());
+  for (std::size_t i = 0; i < excess; ++i) {
+    const auto evicted = customers_.find(by_last_request[i].second);
+    if (!evicted->second.ceiling.is_full()) ceilings_forgotten_at_ = now;
+    customers_.erase(evicted);
+  }
 }
 
 // Lending, equation (19): a class's next rate is its guaranteed rate plus a part of the unused quota in
--- a/src/admission/customer_quotas.h
+++ b/src/admission/customer_quotas.h
@@ -51,6 +51,8 @@
   void initialize(Customer& customer, Ms now) const;
   static void lend_between_classes(Customer& customer, Ms now);
   static bool can_evict(Customer& customer, Ms now);
+  // Keeps the customers within `AdmissionSettings::max_customers`, however many names there are.
+  void evict_excess(Ms now);
   // Whether a new customer would have the same state. Evicting such customers early keeps those that send a
   // single request from filling the memory.
   static bool is_like_new(Customer& customer, Ms now);
@@ -59,6 +61,7 @@
   const AdmissionSettings& settings_;
   std::map<CustomerId, Customer> customers_;
   Ms started_at_ = 0;
+  Ms ceilings_forgotten_at_ = -kInfiniteMs;  // when a customer was evicted whose ceiling was not full
   bool handed_over_ = false;
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
+constexpr std::size_t kCustomerMemoryDivisor = 8;  // an eighth of the memory limit
+constexpr std::size_t kCustomerBytes = 256;
+constexpr std::size_t kCustomerBytesPerClass = 64;
+
 constexpr const char* kDocument = "configuration";
 constexpr double kMaxLimit = 1e9;
 constexpr int kSeedBase = 16;
@@ -102,6 +107,12 @@
   config.max_open_requests = settings.max_open_requests;
 }
 
+// Customers that the module remembers, so that names that never come again do not fill the memory.
+double max_customers(const Config& config) {
+  const std::size_t bytes = config.memory_limit_mb * kBytesPerMegabyte / kCustomerMemoryDivisor;
+  return static_cast<double>(bytes / (kCustomerBytes + config.class_names.size() * kCustomerBytesPerClass));
+}
+
 // The path of the hand-over socket. Both processes of an upgrade get the same one, as they have the same
 // name, listen address and TMPDIR.
 std::string handover_path(const GetVariable& get_variable, const Config& config) {
@@ -135,6 +146,7 @@
   const auto& settings = require_object(object, "settings");
   config.settings_text = json::serialize(settings);
   set_platform_settings(object.at("settings"), config);
+  config.settings.max_customers = max_customers(config);
   return config;
 }
 
--- a/tests/admission/customer_quotas_test.cpp
+++ b/tests/admission/customer_quotas_test.cpp
@@ -56,6 +56,33 @@
   EXPECT_EQ(quotas.exceeded_limit(customer, request(2, 1), 500), std::nullopt);
 }
 
+// Guards against memory that grows without end under ever new names, and against ceilings that are full again
+// because their customers were evicted.
+TEST_F(CustomerQuotasTest, NewNamesEvictIdleCustomersButGrantNoCeilingTwice) {
+  settings.max_customers = 100;
+  const auto request_of = [](CustomerId id) {
+    Request named = request(1);
+    named.customer = id;
+    return named;
+  };
+  const Ms now = 100'000;
+  Customer& spent = quotas.find_or_create(request_of(1), now);
+  quotas.charge(spent, request(5), false, now);
+  quotas.charge(spent, request(5), false, now);
+  Customer& in_flight = quotas.find_or_create(request_of(2), now);
+  in_flight.attempts_in_flight = 1;
+  for (CustomerId id = 10; id < 1'010; ++id) quotas.find_or_create(request_of(id), now + 1).recent_units = 1;
+  quotas.on_tick(now + 2);
+  int known = 0;
+  for (CustomerId id = 1; id < 1'010; ++id) known += quotas.find(id) != nullptr ? 1 : 0;
+  EXPECT_LE(known, 100);
+  EXPECT_EQ(quotas.find(1), nullptr);
+  EXPECT_NE(quotas.find(2), nullptr);
+  EXPECT_FALSE(quotas.is_below_ceiling(quotas.find_or_create(request_of(1), now + 3), request(1), now + 3));
+  EXPECT_TRUE(
+      quotas.is_below_ceiling(quotas.find_or_create(request_of(1), now + 3), request(1), now + 1'003));
+}
+
 TEST_F(CustomerQuotasTest, ACeilingStartsEmptyWithTheGateway) {
   Customer& customer = quotas.find_or_create(request(1), 0);
   EXPECT_FALSE(quotas.is_below_ceiling(customer, request(1), 0));
