The id of a request that may have run stays in use after its client left

Cause: an id was in use until its request was answered, and a client that has left needs no answer; its attempt went on.

Change: the id stays in use until the last attempt has ended, and 30 s beyond the deadline if one may have been executed (16,384 at most).

Result: Engine.KeepsTheIdentityOfAnExecutedRequestWhoseClientLeft and RemembersABoundedNumberOfIdentities failed without the change and pass.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -45,7 +45,7 @@
   now_ = now;
   request_id = 0;
   // Hosts can't distinguish two requests of one identity, and one's reply could be taken for the other's.
-  if (requests_.identity_in_use(incoming.identity) && !mutant(Mutant::kAllowsDuplicateIdentity)) {
+  if (requests_.identity_in_use(now, incoming.identity) && !mutant(Mutant::kAllowsDuplicateIdentity)) {
     return AcceptResult::kDuplicateIdentity;
   }
   if (handler.client_disconnected(response)) {
--- a/src/engine/reply_dispatcher.cpp
+++ b/src/engine/reply_dispatcher.cpp
@@ -13,7 +13,11 @@
     if (mutant(Mutant::kDuplicateReply)) deliver(*request->handler, request->response);
     return;
   }
-  requests_.mark_answered(*request);
+  if (result == Result::kDisconnected) {
+    requests_.mark_disconnected(*request);
+  } else {
+    requests_.mark_answered(*request);
+  }
   finished_.push_back(id);
   count(now, id, *request, result, reason);
   deliver(*request->handler, request->response);
@@ -21,7 +25,7 @@
 
 void ReplyDispatcher::count(Ms now, RequestId id, const PendingRequest& request, Result result,
                             std::optional<RejectionReason> reason) {
-  if (result == Result::kUncounted) return;
+  if (result == Result::kDisconnected) return;
   ClassMetrics& metrics = metrics_.of_class(request.class_index);
   switch (result) {
     case Result::kServed:
@@ -33,7 +37,7 @@
     case Result::kFailed:
       ++metrics.failed;
       return tracer_.record(now, RequestEvent::kFailed, id, request, reason);
-    case Result::kUncounted:
+    case Result::kDisconnected:
       return;
   }
 }
@@ -78,7 +82,7 @@
 }
 
 void ReplyDispatcher::finish_disconnected(Ms now, RequestId id) {
-  finish(now, id, Result::kUncounted, {}, [](DownstreamHandler&, ResponseHandle) {});
+  finish(now, id, Result::kDisconnected, {}, [](DownstreamHandler&, ResponseHandle) {});
 }
 
 bool ReplyDispatcher::is_streaming(RequestId id) const {
--- a/src/engine/reply_dispatcher.h
+++ b/src/engine/reply_dispatcher.h
@@ -47,7 +47,7 @@
   std::optional<RequestId> pop_finished();
 
  private:
-  enum class Result : std::uint8_t { kServed, kRejected, kFailed, kUncounted };
+  enum class Result : std::uint8_t { kServed, kRejected, kFailed, kDisconnected };
   template <class Deliver>
   void finish(Ms now, RequestId id, Result result, std::optional<RejectionReason> reason, Deliver&& deliver);
   void count(Ms now, RequestId id, const PendingRequest& request, Result result,
--- a/src/engine/request_table.cpp
+++ b/src/engine/request_table.cpp
@@ -6,6 +6,14 @@
 
 namespace cometfold::engine {
 
+namespace {
+
+// Identities of requests whose clients disconnected stay in use for this long beyond the deadline.
+constexpr Ms kExecutedIdentityMs = 30'000;
+constexpr std::size_t kMaxExecutedIdentities = 16'384;
+
+}  // namespace
+
 std::pair<RequestId, PendingRequest&> RequestTable::add(PendingRequest request) {
   const RequestId id = ++last_request_id_;
   payload_bytes_ += request.payload->bytes();
@@ -35,6 +43,34 @@
   --unanswered_count_;
 }
 
+void RequestTable::mark_disconnected(PendingRequest& request) {
+  request.keeps_identity = true;
+  mark_answered_keeping_identity(request);
+}
+
+void RequestTable::release_identity(const PendingRequest& request) {
+  const bool may_have_executed =
+      std::any_of(request.attempts.begin(), request.attempts.end(),
+                  [](const Attempt& attempt) { return attempt.may_have_executed; });
+  if (!may_have_executed) {
+    open_identities_.erase(request.identity);
+    return;
+  }
+  if (executed_identities_.size() >= kMaxExecutedIdentities) {
+    open_identities_.erase(executed_identities_.front().identity);
+    executed_identities_.pop_front();
+  }
+  executed_identities_.push_back({request.identity, request.expires_at + kExecutedIdentityMs});
+}
+
+bool RequestTable::identity_in_use(Ms now, std::uint64_t identity) {
+  while (!executed_identities_.empty() && executed_identities_.front().in_use_until <= now) {
+    open_identities_.erase(executed_identities_.front().identity);
+    executed_identities_.pop_front();
+  }
+  return open_identities_.contains(identity);
+}
+
 void RequestTable::erase_if_done(RequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
@@ -42,6 +78,7 @@
   if (!request.answered || request.in_flight_count > 0 || request.unreported_end_count > 0) return;
   if (mutant(Mutant::kServesAbandonedAttempt)) return;  // its abandoned attempts still refer to the request
   payload_bytes_ -= request.payload->bytes();
+  if (request.keeps_identity) release_identity(request);
   requests_.erase(found);
 }
 
@@ -55,6 +92,7 @@
 }
 
 void RequestTable::digest(Digest& into) const {
+  for (const ExecutedIdentity& executed : executed_identities_) into.add(executed.identity);
   std::vector<RequestId> ids;
   for (const auto& [id, request] : requests_) ids.push_back(id);
   std::sort(ids.begin(), ids.end());
--- a/src/engine/request_table.h
+++ b/src/engine/request_table.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -44,6 +45,7 @@
   bool answered = false;                        // has its final reply, or its client has disconnected
   std::optional<StreamedValue> value;           // the reply, if it is being streamed
   std::vector<Attempt> attempts;
+  bool keeps_identity = false;  // after it was answered, until it is erased
   std::size_t in_flight_count = 0;
   std::size_t unreported_end_count = 0;  // ended attempts that the policy has not been notified of
 
@@ -65,7 +67,9 @@
   std::pair<RequestId, PendingRequest&> add(PendingRequest request);
   PendingRequest* find(RequestId id);
   bool contains(RequestId id) const { return requests_.contains(id); }
-  bool identity_in_use(std::uint64_t identity) const { return open_identities_.contains(identity); }
+  // Whether another request with this identity is open, or may have been executed shortly before `now` for a
+  // client that disconnected.
+  bool identity_in_use(Ms now, std::uint64_t identity);
   // Whether `token` is the id of a request that has been erased.
   bool is_erased(std::uint64_t token) const { return token <= last_request_id_ && !contains(token); }
 
@@ -77,6 +81,9 @@
   // The request has its final reply: releases its identity.
   void mark_answered(PendingRequest& request);
   void mark_answered_keeping_identity(PendingRequest& request);
+  // The client has disconnected. The identity stays in use until the last attempt has ended, and for a while
+  // after it if one may have been executed: the client may send the request again.
+  void mark_disconnected(PendingRequest& request);
   // Erases the request if it is answered, none of its attempts is in flight and the policy has been notified
   // of all ends.
   void erase_if_done(RequestId id);
@@ -90,7 +97,15 @@
 
  private:
   std::unordered_map<RequestId, PendingRequest> requests_;
+  struct ExecutedIdentity {
+    std::uint64_t identity = 0;
+    Ms in_use_until = 0;
+  };
+
+  void release_identity(const PendingRequest& request);
+
   std::unordered_set<std::uint64_t> open_identities_;
+  std::deque<ExecutedIdentity> executed_identities_;  // also in `open_identities_`; the oldest first
   std::unordered_map<AttemptId, AttemptRef> attempts_;
   RequestId last_request_id_ = 0;
   AttemptId last_attempt_id_ = 0;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -272,6 +272,45 @@
   });
 }
 
+// Guards against effects that happen twice as a client that has left sends its request again: the identity
+// stays in use while an attempt is in flight, and for a while if it may have been executed.
+TEST(Engine, KeepsTheIdentityOfAnExecutedRequestWhoseClientLeft) {
+  for (const Outcome outcome : {Outcome::kOk, Outcome::kConnectionLost, Outcome::kOverloaded}) {
+    Fixture f;
+    f.policy.request_action = send_to(1);
+    f.accept(0);
+    f.transport.written.insert(1);
+    f.engine.on_client_disconnected(1, f.request_id);
+    EXPECT_EQ(f.accept(2), AcceptResult::kDuplicateIdentity);
+    f.end_attempt(3, 1, outcome, "v");
+    const bool executed = outcome != Outcome::kOverloaded;
+    EXPECT_EQ(f.accept(4), executed ? AcceptResult::kDuplicateIdentity : AcceptResult::kAccepted);
+    EXPECT_EQ(f.accept(100 + 30'000, 1),
+              executed ? AcceptResult::kAccepted : AcceptResult::kDuplicateIdentity);
+  }
+  Fixture never_sent;
+  never_sent.policy.request_action = send_to(1);
+  never_sent.accept(0);
+  never_sent.engine.on_client_disconnected(1, never_sent.request_id);
+  EXPECT_EQ(never_sent.accept(2), AcceptResult::kAccepted);
+}
+
+// The memory for such identities is bounded: the oldest are forgotten.
+TEST(Engine, RemembersABoundedNumberOfIdentities) {
+  Fixture f;
+  constexpr std::uint64_t kMaxIdentities = 16'384;
+  for (std::uint64_t i = 0; i <= kMaxIdentities; ++i) {
+    f.policy.request_action = [i](ActionSink& out) { out.send(i + 1, 1, 0); };
+    ASSERT_EQ(f.accept(0, i + 1), AcceptResult::kAccepted);
+    f.transport.written.insert(f.transport.last_attempt);
+    f.engine.on_client_disconnected(1, f.request_id);
+    f.end_attempt(1, f.transport.last_attempt, Outcome::kOk, "v");
+  }
+  f.policy.request_action = nullptr;
+  EXPECT_EQ(f.accept(2, kMaxIdentities + 1), AcceptResult::kDuplicateIdentity);
+  EXPECT_EQ(f.accept(2, 1), AcceptResult::kAccepted);
+}
+
 TEST(Engine, FailsARequestAtOnceIfThePolicyThrows) {
   expect_guarded(Mutant::kDropsRequestOnPolicyException, [](Fixture& f) {
     f.policy.request_action = [](ActionSink&) { throw std::runtime_error("x"); };
