A keyed request is not repeated at a new process of a host without location

By reading: the rule that binds a key to its host compared uid and location only.

Cause: a new process does not know the keys of the one before; the check at the first byte sees a restart since an attempt's own decision, not since the attempt that holds the key.

Change: the rule compares the start of the process too, for module and engine.

Result: KeyedRetry.IsNotSentToANewProcessOfAHostWithoutLocation failed for both scopes without the change and passes.

--- a/include/cometfold/attempt_rules.h
+++ b/include/cometfold/attempt_rules.h
@@ -78,7 +78,7 @@
 inline constexpr std::size_t kAttemptVerdictCount = std::size(kAttemptVerdictNames);
 
 // Constraint that a request's earlier attempts impose on the next one. `Attempt` has the members `host`,
-// `location` (of the host when the attempt was sent), `sent_at`, `in_flight` and
+// `location` and `host_started_at` (of the host when the attempt was sent), `sent_at`, `in_flight` and
 // `may_have_executed`; attempts in flight count as executed. Holds a pointer into the attempts and is
 // invalidated when they change.
 template <class Attempt>
@@ -86,11 +86,14 @@
   AttemptVerdict verdict = AttemptVerdict::kAllowed;
   const Attempt* key_holder = nullptr;  // if set, only hosts that share this attempt's idempotency key
 
-  // Whether the attempt may be sent to the host at this location. Requires that `verdict` is kAllowed.
-  bool allows(const ClassSettings& class_settings, HostId host, const HostLocation& location) const {
+  // Whether the attempt may be sent to the host at this location, whose process started at `started_at`.
+  // Requires that `verdict` is kAllowed. A process that took the place of another does not know its keys.
+  bool allows(const ClassSettings& class_settings, HostId host, const HostLocation& location,
+              Ms started_at) const {
     if (key_holder == nullptr) return true;
-    const bool same_host = key_holder->host == host && key_holder->location == location;
-    return same_host || in_same_scope(class_settings.idempotency_scope, key_holder->location, location);
+    const bool same_process = key_holder->host == host && key_holder->location == location &&
+                              key_holder->host_started_at == started_at;
+    return same_process || in_same_scope(class_settings.idempotency_scope, key_holder->location, location);
   }
 };
 
--- a/src/admission/host_selector.cpp
+++ b/src/admission/host_selector.cpp
@@ -33,7 +33,8 @@
   double best_cost = 0;
   for (auto& [id, host] : parts_.hosts) {
     if (!host.is_usable()) continue;
-    if (!search.constraint.allows(pending.class_settings, id, location_of(host.entry))) continue;
+    if (!search.constraint.allows(pending.class_settings, id, location_of(host.entry), host.entry.started_at))
+      continue;
     if (parts_.limiter.is_at_limit(host, search.target_latency, now)) continue;
     if (!last_resort && (pending.was_sent_to(id) || parts_.outliers.is_ejected(host, now))) continue;
     const bool selected = &host == search.warming_up;
--- a/src/admission/pending_request.h
+++ b/src/admission/pending_request.h
@@ -13,6 +13,7 @@
   HostId host = 0;
   Ms sent_at = 0;
   HostLocation location = {};  // of the host when the attempt was sent
+  Ms host_started_at = 0;      // start time of the process that it was sent to
   bool in_flight = true;
   bool may_have_executed = true;
   bool never_sent = false;
--- a/src/admission/request_handling.cpp
+++ b/src/admission/request_handling.cpp
@@ -112,7 +112,10 @@
   host->attempts_in_flight += 1;
   slow_start_.record_send(now_);
   if (Customer* customer = quotas_.find(pending.request.customer)) customer->attempts_in_flight += 1;
-  pending.attempts.push_back({.host = host->entry.id, .sent_at = now_, .location = location_of(host->entry)});
+  pending.attempts.push_back({.host = host->entry.id,
+                              .sent_at = now_,
+                              .location = location_of(host->entry),
+                              .host_started_at = host->entry.started_at});
   out.send(pending.request.id, host->entry.id, pending.request.bounds.attempt_timeout_ms);
   return true;
 }
--- a/src/engine/attempt_gate.cpp
+++ b/src/engine/attempt_gate.cpp
@@ -12,13 +12,15 @@
 struct RuleAttempt {
   HostId host = 0;
   HostLocation location;
+  Ms host_started_at = 0;
   Ms sent_at = 0;
   bool in_flight = true;
   bool may_have_executed = true;
 };
 
 RuleAttempt to_rule_attempt(const Attempt& attempt) {
-  return {attempt.host, attempt.location, attempt.sent_at, attempt.in_flight, attempt.may_have_executed};
+  return {attempt.host,    attempt.location,  attempt.host_started_at,
+          attempt.sent_at, attempt.in_flight, attempt.may_have_executed};
 }
 
 // A mutant that skips an earlier check must pass this one too, or the fault would have no effect.
@@ -68,8 +70,9 @@
   if (!may_hedge(others, settings_->hedging_allowed)) return AttemptVerdict::kAttemptInFlight;
   const auto constraint = retry_constraint(*request.class_settings, others, now);
   if (constraint.verdict != AttemptVerdict::kAllowed) return constraint.verdict;
-  return constraint.allows(*request.class_settings, own.host, own.location) ? AttemptVerdict::kAllowed
-                                                                            : AttemptVerdict::kOutOfScope;
+  return constraint.allows(*request.class_settings, own.host, own.location, own.host_started_at)
+             ? AttemptVerdict::kAllowed
+             : AttemptVerdict::kOutOfScope;
 }
 
 AttemptVerdict AttemptGate::check_first_byte(Ms now, const PendingRequest& request,
--- a/tests/admission/invariants_test.cpp
+++ b/tests/admission/invariants_test.cpp
@@ -429,6 +429,19 @@
   EXPECT_EQ(retry_host(), std::nullopt);
 }
 
+// Guards against a new process that is taken for the one that had run the request: it does not know the key,
+// and would run it again.
+TEST_P(KeyedRetry, IsNotSentToANewProcessOfAHostWithoutLocation) {
+  HostEntry unlocated = host(1);
+  unlocated.zone = unlocated.cell = std::nullopt;
+  gateway.update_hosts(HostListUpdate::kSnapshot, {unlocated});
+  send_request();
+  HostEntry restarted = unlocated;
+  restarted.started_at = 1;  // long enough ago to be warm
+  gateway.update_hosts(HostListUpdate::kDelta, {restarted});
+  EXPECT_EQ(retry_host(), std::nullopt);
+}
+
 TEST_P(KeyedRetry, KeepsTheSettingsThatItsRequestArrivedWith) {
   send_request();
   gateway.update_hosts(HostListUpdate::kDelta, {host(2, HostState::kReady, 0, 0), HostEntry::removed(1)});
