A large command that is rejected frees its memory at once

Cause: the buffer of a rejected command counted until its connection was closed, so that the limit stayed passed and the next ones were rejected too.

Change: it is freed with the rejection.

--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -162,6 +162,7 @@
   close_after_reply_ = true;
   std::string reply;
   append_error(reply, "ERR Protocol error: " + std::string(text_of(input_.error())));
+  input_.discard();  // at once: while it counts, others that are sending large commands are rejected too
   send_reply(now, handle.sequence, reply);
 }
 
--- a/src/resp/command_input.cpp
+++ b/src/resp/command_input.cpp
@@ -9,15 +9,14 @@
 constexpr std::size_t kMaxExemptBufferBytes = std::size_t{16} * 1024;
 // Per client, while its commands are not dispatched.
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{512} * 1024;
+constexpr RespLimits kCommandLimits{.max_buffer_bytes = kMaxReadAheadBytes};
 // Reloads in succession that the waiting commands of one client are told apart by.
 constexpr std::size_t kMaxReplacedNames = 16;
 
 }  // namespace
 
 CommandInput::CommandInput(MemoryBudget& memory, Ms now)
-    : memory_(memory),
-      reader_(RespLimits{.max_buffer_bytes = kMaxReadAheadBytes}, true),
-      awaited_since_(now) {}
+    : memory_(memory), reader_(kCommandLimits, true), awaited_since_(now) {}
 
 std::span<char> CommandInput::prepare_read() {
   const auto space = reader_.prepare();
@@ -87,6 +86,11 @@
 // read ahead. It uses at most half of the total buffer memory, as incomplete commands need that more.
 bool CommandInput::may_read_ahead() const { return !reader_.full() && memory_.may_read_ahead(); }
 
+void CommandInput::discard() {
+  release_accounting();
+  reader_ = RespReader(kCommandLimits, true);
+}
+
 void CommandInput::release_accounting() {
   memory_.remove(MemoryBudget::Use::kClientInput, std::exchange(buffered_bytes_, 0));
 }
--- a/src/resp/command_input.h
+++ b/src/resp/command_input.h
@@ -47,6 +47,8 @@
   bool empty() const { return reader_.empty(); }
   // Whether more may be read while no commands are dispatched.
   bool may_read_ahead() const;
+  // Drops what is buffered and frees the memory. Nothing may be committed afterwards.
+  void discard();
   // Subtracts the buffer from the budget. Called when the connection is closed.
   void release_accounting();
 
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -192,6 +192,32 @@
   callbacks.connection.reset();
 }
 
+// Guards against clients that are all rejected as one too many sends a large command: only as many as there
+// is no memory for are, as each frees its own at once.
+TEST(ClientConnection, AnIncompleteCommandThatIsRejectedFreesItsMemory) {
+  constexpr std::size_t kClients = 10, kFitting = 6, kBufferBytes = 64 * 1024;
+  ClientTotals totals;
+  // A quarter is for commands; the half is for buffers that are small or about to be rejected.
+  totals.memory.set_limit(4 * (kFitting * kBufferBytes + kBufferBytes / 2));
+  std::vector<RecordingCallbacks> callbacks(kClients);
+  std::vector<std::shared_ptr<ClientConnection>> connections;
+  std::vector<FakeStream*> peers;
+  const std::string half = "*2\r\n$1\r\na\r\n$60000\r\n" + std::string(40'000, 'b');
+  for (RecordingCallbacks& client : callbacks) {
+    connections.push_back(std::make_shared<ClientConnection>(client, totals, 1, 0));
+    auto stream = std::make_unique<FakeStream>(*connections.back());
+    peers.push_back(stream.get());
+    connections.back()->start(std::move(stream));
+    peers.back()->arrive(1, half);
+  }
+  const std::string rest = std::string(20'000, 'b') + "\r\n";
+  for (FakeStream* peer : peers) peer->arrive(2, rest.substr(0, 10'000));
+  for (FakeStream* peer : peers) peer->arrive(3, rest.substr(10'000));
+  std::size_t complete = 0;
+  for (const RecordingCallbacks& client : callbacks) complete += client.sequences.size();
+  EXPECT_EQ(complete, kFitting);
+}
+
 // Guards against replies that fill the memory behind commands that get no answer: commands that would have to
 // wait stay unread, and get their replies once the ones before them have theirs.
 TEST(ClientConnection, RepliesBehindUnansweredCommandsStayWithinTheMemoryOfAll) {
