Linter: a division and a comment of the limits are as the tools want them

Cause: the run of the linter over all files found an integer division in a floating-point context and an unformatted comment.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -110,7 +110,8 @@
 // Customers that the module remembers, so that names that never come again do not fill the memory.
 double max_customers(const Config& config) {
   const std::size_t bytes = config.memory_limit_mb * kBytesPerMegabyte / kCustomerMemoryDivisor;
-  return static_cast<double>(bytes / (kCustomerBytes + config.class_names.size() * kCustomerBytesPerClass));
+  const std::size_t customers = bytes / (kCustomerBytes + config.class_names.size() * kCustomerBytesPerClass);
+  return static_cast<double>(customers);
 }
 
 // The path of the hand-over socket. Both processes of an upgrade get the same one, as they have the same
--- a/src/net/gateway_limits.cpp
+++ b/src/net/gateway_limits.cpp
@@ -24,7 +24,7 @@
 constexpr Ms kDrainMargin = 450;
 
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
-// The memory limit is divided into this many parts. Request bodies get one, of which attempts hold copies, and
+// The memory limit is divided into this many parts. Request bodies get one, of which attempts hold copies,
 // the buffers of all connections together get four. The others are for the process itself.
 constexpr std::size_t kMemoryParts = 8;
 constexpr std::size_t kBufferMemoryParts = 4;
