--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -123,6 +123,25 @@
   setup.serve(client, 4);
 }
 
+// Guards against an effect that happens twice as a request comes again, under its id, at the other process.
+TEST(Upgrade, AnIdThatIsOpenAtTheFirstDoesNotRunAtTheSecond) {
+  UpgradeSetup setup;
+  auto first = setup.start();
+  auto client = first->client();
+  client.send(submit("pay", 1));
+  auto upstream = setup.host.accept();
+  upstream.command();
+  auto second = setup.start();
+  first->log_until("a successor process has connected");
+  first->terminate();
+  second->log_until("taken over");
+  auto again = second->client();
+  again.send(submit("pay", 1));
+  EXPECT_FALSE(setup.host.waiting(500));
+  upstream.send(served("v"));
+  EXPECT_EQ(client.reply(), "v");
+}
+
 TEST(Upgrade, TheSecondServesAfterTheFirstIsKilled) {
   UpgradeSetup setup;
   auto first = setup.start();
