The id of a safe request that ran is free once its attempts have ended

Cause: the ids of requests whose clients left were kept whatever their class. A safe request may run again.

Change: only ids of classes that aren't safe to repeat are kept beyond their attempts. The test is unchanged.

--- a/src/engine/request_table.cpp
+++ b/src/engine/request_table.cpp
@@ -52,7 +52,9 @@
   const bool may_have_executed =
       std::any_of(request.attempts.begin(), request.attempts.end(),
                   [](const Attempt& attempt) { return attempt.may_have_executed; });
-  if (!may_have_executed) {
+  const bool may_run_again =
+      request.class_settings && request.class_settings->idempotency == Idempotency::kIdempotent;
+  if (!may_have_executed || may_run_again) {
     open_identities_.erase(request.identity);
     return;
   }
--- a/src/engine/request_table.h
+++ b/src/engine/request_table.h
@@ -82,7 +82,8 @@
   void mark_answered(PendingRequest& request);
   void mark_answered_keeping_identity(PendingRequest& request);
   // The client has disconnected. The identity stays in use until the last attempt has ended, and for a while
-  // after it if one may have been executed: the client may send the request again.
+  // after it if one may have been executed and the class is not idempotent: the client may send the request
+  // again.
   void mark_disconnected(PendingRequest& request);
   // Erases the request if it is answered, none of its attempts is in flight and the policy has been notified
   // of all ends.
