--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -67,8 +67,18 @@
     "edge_edge.attempts.cancelled:141|c\n"
     "edge_edge.attempts.not_sent:142|c\n"
     "edge_edge.attempts.repeats:143|c\n"
+    "edge_edge.values.pauses:147|c\n"
+    "edge_edge.values.continued:148|c\n"
+    "edge_edge.values.replaced:149|c\n"
+    "edge_edge.values.differed:150|c\n"
     "edge_edge.closed.idle:144|c\n"
     "edge_edge.closed.reset:145|c\n"
+    "edge_edge.memory.limit:151|g\n"
+    "edge_edge.memory.replies:152|g\n"
+    "edge_edge.memory.client_input:153|g\n"
+    "edge_edge.memory.host_input:154|g\n"
+    "edge_edge.memory.reserved:155|g\n"
+    "edge_edge.memory.dropped_replies:156|c\n"
     "edge_edge.peers.standing:1|g\n"
     "edge_edge.peers.judged:2|c\n";
 
@@ -91,6 +101,8 @@
   metrics.closed.emplace_back("idle", next++);
   metrics.closed.emplace_back("reset", next++);
   metrics.forbidden_closes = next++;
+  metrics.values = {147, 148, 149, 150};
+  metrics.memory = {151, 152, 153, 154, 155, 156};
   metrics.peers = ops::PeerMetrics{{{"standing", 1}}, {{"judged", 2}}};
   return metrics;
 }
