--- a/src/admission/attempt_handling.cpp
+++ b/src/admission/attempt_handling.cpp
@@ -40,7 +40,7 @@
 }
 
 // The response of a host that pauses may still come whole, so its attempt goes on and is hedged. What the
-// response is worth no longer counts: the client has begun to receive it.
+// response is worth no longer counts: the client may have received some of it.
 void AdmissionController::Impl::on_stream_paused(RequestId id, std::uint32_t index, ActionSink& out) {
   PendingRequest* pending = requests_.find(id);
   if (pending == nullptr || index >= pending->attempts.size()) return;
--- a/src/ops/metrics.h
+++ b/src/ops/metrics.h
@@ -19,7 +19,7 @@
   std::vector<std::pair<std::string, std::uint64_t>> gauges, counts;
 };
 
-// Bytes that the buffers of all connections hold (see resp::MemoryBudget), and what was refused for them.
+// Bytes that the buffers of all connections hold (see resp::MemoryBudget), and dropped replies.
 struct MemoryMetrics {
   std::size_t limit = 0;
   std::size_t replies = 0;
--- a/src/resp/memory_budget.h
+++ b/src/resp/memory_budget.h
@@ -2,7 +2,7 @@
 // that clients are sending, and replies that are being read from hosts. Does no I/O.
 //
 // Buffers are counted when they change. Replies are also counted ahead: each command that is under way
-// reserves the size that a reply is expected to have, as its reply can't be refused once its host sends it.
+// reserves the size that a reply is expected to have, as its reply must be taken once its host sends it.
 #pragma once
 
 #include <array>
