--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -329,6 +329,7 @@
   }
   if (!error || is_queue_empty(error)) {
     acceptor_.close(error);
+    log_line("the listener for clients is closed");
     return;
   }
   if (!queue_delayed_since_) queue_delayed_since_ = clock_.now();
--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <string>
 #include <utility>
 
 #include "net/log.h"
@@ -26,6 +27,8 @@
 
 void ShutdownSequence::start(bool handed_over, ProcessorServer* processor) {
   processor_ = processor;
+  log_line("shutdown begins", std::to_string(engine_.unanswered_count()) + " requests in progress, " +
+                                  std::to_string(clients_.connection_count()) + " client connections");
   if (processor_) processor_->listener().announce_drain();
   if (handed_over) {
     timer_.expires_after(kHandedOverGracePeriod);
@@ -48,12 +51,20 @@
   if (processor_) processor_->listener().drain();
 }
 
+void ShutdownSequence::log_remaining_connections() const {
+  const std::size_t connections = clients_.connection_count();
+  if (connections > 0) {
+    log_line("the shutdown ends with open client connections", std::to_string(connections));
+  }
+}
+
 void ShutdownSequence::await_completion() {
   const Ms now = clock_.now();
   const Ms deadline = *engine_.shutdown_deadline();
   if (engine_.unanswered_count() > 0 && now >= deadline) engine_.fail_all(now);
   const std::size_t proxies = processor_ ? processor_->listener().connection_count() : 0;
   if (clients_.connection_count() + proxies == 0 || now >= deadline + kLastReplyTime) {
+    log_remaining_connections();
     if (processor_)
       log_line("external processor totals", extproc::to_text(processor_->processor().metrics()));
     return on_finished_();
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -29,6 +29,7 @@
 
  private:
   void close_clients(bool handed_over);
+  void log_remaining_connections() const;
   void await_completion();
 
   Clock& clock_;
