After a hand-over the first process ends before SIGKILL where deadlines are short

Seen: with a longest deadline of less than 1.9 s the first process of an upgrade still had its idle clients' connections open when SIGKILL came, 0.7 s after that deadline; what they sent then was lost.

Cause: idle connections were left open for a fixed 2.6 s, which fits a longest deadline of 3 s only.

Change: they are left open until 0.85 s before the shutdown's own deadline, but for at least as long as without a hand-over. With 3 s that is 2.6 s as before. Why it works: the shutdown's deadline follows the longest deadline, so every step now does.

--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -1,5 +1,6 @@
 #include "net/shutdown_sequence.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <string>
@@ -13,9 +14,9 @@
 
 namespace {
 
-// After a hand-over. Idle connections have timed out by then, so one that is still idle holds an incomplete
-// command.
-constexpr auto kHandedOverGracePeriod = std::chrono::milliseconds(2600);
+// After a hand-over idle connections may rest until this long before the shutdown's deadline, so that
+// requests that arrive on them last can still be answered.
+constexpr Ms kLastRequestTime = 850;
 constexpr Ms kLastReplyTime = 150;  // for clients to read their last replies
 constexpr auto kPollInterval = std::chrono::milliseconds(10);
 
@@ -30,20 +31,24 @@
   log_line("shutdown begins", std::to_string(engine_.unanswered_count()) + " requests in progress, " +
                                   std::to_string(clients_.connection_count()) + " client connections");
   if (processor_) processor_->listener().announce_drain();
-  if (handed_over) {
-    timer_.expires_after(kHandedOverGracePeriod);
-  } else {
-    timer_.expires_after(kDrainGracePeriod);
-  }
-  timer_.async_wait([this, handed_over](error_code cancelled) {
+  handed_over_ = handed_over;
+  timer_.expires_at(clock_.at(clock_.now() + grace_period()));
+  timer_.async_wait([this](error_code cancelled) {
     if (cancelled) return;
-    close_clients(handed_over);
+    close_clients();
     await_completion();
   });
 }
 
-void ShutdownSequence::close_clients(bool handed_over) {
-  if (handed_over) {
+// Milliseconds from now until idle connections are closed.
+Ms ShutdownSequence::grace_period() const {
+  const Ms regular = std::chrono::duration<Ms, std::milli>(kDrainGracePeriod).count();
+  if (!handed_over_) return regular;
+  return std::max(regular, *engine_.shutdown_deadline() - kLastRequestTime - clock_.now());
+}
+
+void ShutdownSequence::close_clients() {
+  if (handed_over_) {
     clients_.close_idle();
   } else {
     clients_.shut_down();
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -28,7 +28,8 @@
   void start(bool handed_over, ProcessorServer* processor);
 
  private:
-  void close_clients(bool handed_over);
+  Ms grace_period() const;
+  void close_clients();
   void log_remaining_connections() const;
   void await_completion();
 
@@ -38,6 +39,7 @@
   ProcessorServer* processor_ = nullptr;
   std::function<void()> on_finished_;
   boost::asio::steady_timer timer_;
+  bool handed_over_ = false;
 };
 
 }  // namespace cometfold::net
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -266,6 +266,25 @@
   }
 }
 
+// Guards against requests lost to SIGKILL, which comes 0.7 s after the longest deadline, on idle connections.
+TEST(Upgrade, TheFirstEndsBeforeSigkillWhereDeadlinesAreShort) {
+  UpgradeSetup setup;
+  for (auto& settings : setup.conf["settings"].as_object()["lanes"].as_array()) {
+    settings.as_object()["slo_ms"] = 500.0;
+    settings.as_object()["deadline_ms"] = 1000.0;
+  }
+  auto first = setup.start();
+  auto idle = first->client();
+  setup.serve(idle, 1);
+  auto second = setup.start();
+  first->log_until("a successor process has connected");
+  const auto terminated_at = std::chrono::steady_clock::now();
+  first->terminate();
+  EXPECT_TRUE(idle.wait_for_close());
+  EXPECT_EQ(first->exit_code(), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - terminated_at, std::chrono::milliseconds(1700));
+}
+
 // The second process has an older host list in its configuration, and discovery sends it nothing.
 TEST(Upgrade, TheSecondKeepsDrainsReportedToTheFirst) {
   for (const std::string state : {"leaving", "left"}) {
