A process that starts while its predecessor stops serves at once

Seen: a process that was started within 0.55 s after its predecessor got SIGTERM received the listening socket but accepted nobody until the predecessor had ended, up to 3.6 s later.

Cause: the predecessor hands over once, when SIGTERM comes. A successor that connected later got the socket and no hand-over, while the predecessor closed only its own descriptor of it.

Change: a successor that connects while the process stops gets the hand-over with the socket. After the listener is closed it gets neither, as before, and listens itself.

Upgrade.ASecondThatStartsWhileTheFirstStopsServesAtOnce: before, PING was answered only after the first process had failed its last request with "stopping"; passes now.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -268,10 +268,14 @@
   if (!with_state) policy_.assume_unknown_predecessor(clock_.now());
 }
 
-// While two processes run, each may use half of the gateway's limits.
+// While two processes run, each may use half of the gateway's limits. A successor that starts while this
+// process stops has the listening socket too, so it takes over at once: nobody else would accept.
 void Gateway::on_second_process(bool is_running) {
   shares_limits_ = is_running;
   apply_limits();
+  if (!shutdown_.has_begun() || handed_over_ || !upgrade_->has_successor()) return;
+  hand_over();
+  shutdown_.on_handed_over();
 }
 
 // Connections close after their next reply, so that a request and the close can't cross on the network; idle
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -24,9 +24,9 @@
 class SuccessorListener {
  public:
   struct Callbacks {
-    std::function<int()> listening_socket;  // passed to the successor; the caller keeps its descriptor
-    std::function<void()> on_successor_started;
-    std::function<void()> on_successor_exited;  // before the hand-over
+    std::function<int()> listening_socket;       // passed to the successor; the caller keeps its descriptor
+    std::function<void()> on_successor_started;  // may call `hand_over`
+    std::function<void()> on_successor_exited;   // before the hand-over
   };
   SuccessorListener(boost::asio::io_context& io, std::string path, Callbacks callbacks);
   ~SuccessorListener();
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -26,6 +26,8 @@
   void begin() { engine_.begin_shutdown(clock_.now()); }
   // `handed_over`: a successor has the listening socket. `processor`: null if it is off.
   void start(bool handed_over, ProcessorServer* processor);
+  // A successor has got the listening socket after `start`.
+  void on_handed_over() { handed_over_ = true; }
 
  private:
   Ms grace_period() const;
--- a/src/net/successor_listener.cpp
+++ b/src/net/successor_listener.cpp
@@ -49,7 +49,7 @@
     if (error == asio::error::operation_aborted) return;
     if (error) return accept_later();
     accept_successor(std::move(peer));
-    accept();
+    if (!handed_over_) accept();
   });
 }
 
@@ -66,8 +66,8 @@
   if (!send_descriptor(peer.native_handle(), callbacks_.listening_socket())) return;
   successor_ = std::make_unique<Stream>(std::move(peer));
   log_line("a successor process has connected and waits for the hand-over");
-  callbacks_.on_successor_started();
   await_exit();
+  callbacks_.on_successor_started();
 }
 
 void SuccessorListener::await_exit() {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -285,6 +285,28 @@
   EXPECT_LT(std::chrono::steady_clock::now() - terminated_at, std::chrono::milliseconds(1700));
 }
 
+// Guards against connections that wait in the accept queue, which nobody serves, until the first process
+// ends.
+TEST(Upgrade, ASecondThatStartsWhileTheFirstStopsServesAtOnce) {
+  UpgradeSetup setup;
+  auto first = setup.start();
+  auto client = first->client();
+  client.send(query(1));
+  auto upstream = setup.host.accept();
+  upstream.command();
+  first->terminate();
+  first->log_until("shutdown begins");
+  auto second = setup.start();
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));  // the first has closed its listener by then
+  auto late = second->client();
+  late.send(command({"PING"}));
+  EXPECT_EQ(late.reply(), "+PONG");
+  EXPECT_TRUE(client.receives_nothing(0)) << "the first process has ended its request already";
+  upstream.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  EXPECT_EQ(first->exit_code(), 0);
+}
+
 // The second process has an older host list in its configuration, and discovery sends it nothing.
 TEST(Upgrade, TheSecondKeepsDrainsReportedToTheFirst) {
   for (const std::string state : {"leaving", "left"}) {
