A process that ends leaves another process's hand-over socket in place

Seen (by reading, then by a test): a process that starts after its predecessor has closed its listener, but before that has ended, has its hand-over socket removed. A later upgrade finds no predecessor, and can't start as the address is in use.

Cause: a process without a hand-over removed whatever lay at the path of its socket file.

Change: it removes the file only if that is the one which it made, told by its inode.

Upgrade.TheSocketFileOfASecondThatStartsAfterTheListenerClosedStays: before, the third process found no predecessor; passes now.

--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -2,6 +2,8 @@
 // listening socket, and later the state, from its predecessor, over a Unix socket in a shared directory.
 #pragma once
 
+#include <sys/types.h>
+
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
@@ -57,6 +59,7 @@
   char ignored_byte_ = 0;
   bool handed_over_ = false;
   bool is_bound_ = false;
+  ino_t inode_ = 0;  // of the socket file, if it is bound
 };
 
 // In the successor: the connection to its predecessor.
--- a/src/net/successor_listener.cpp
+++ b/src/net/successor_listener.cpp
@@ -19,13 +19,21 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr int kBacklog = 4;
 
+// The identity of the file at this path; 0: there is none.
+ino_t inode_at(const std::string& path) {
+  struct stat file {};
+  return ::lstat(path.c_str(), &file) == 0 ? file.st_ino : 0;
+}
+
 }  // namespace
 
 SuccessorListener::SuccessorListener(asio::io_context& io, std::string path, Callbacks callbacks)
     : path_(std::move(path)), callbacks_(std::move(callbacks)), acceptor_(io), retry_timer_(io) {}
 
 SuccessorListener::~SuccessorListener() {
-  if (is_bound_ && !handed_over_) ::unlink(path_.c_str());
+  // A process that started after the listening socket was closed may have its own file there.
+  const bool is_own = is_bound_ && inode_at(path_) == inode_;
+  if (is_own && !handed_over_) ::unlink(path_.c_str());
 }
 
 void SuccessorListener::listen() {
@@ -35,6 +43,7 @@
     acceptor_.open();
     acceptor_.bind(stream_protocol::endpoint(path_));
     is_bound_ = true;
+    inode_ = inode_at(path_);
     ::chmod(path_.c_str(), S_IRUSR | S_IWUSR);
     acceptor_.listen(kBacklog);
     accept();
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -307,6 +307,26 @@
   EXPECT_EQ(first->exit_code(), 0);
 }
 
+// Guards against a third process that finds no predecessor, as the first has removed the second's socket
+// file.
+TEST(Upgrade, TheSocketFileOfASecondThatStartsAfterTheListenerClosedStays) {
+  UpgradeSetup setup;
+  auto first = setup.start();
+  auto client = first->client();
+  client.send(query(1));
+  auto upstream = setup.host.accept();
+  upstream.command();
+  first->terminate();
+  first->log_until("the listener for clients is closed");
+  auto second = setup.start();
+  upstream.send(served("one"));
+  EXPECT_EQ(client.reply(), "one");
+  EXPECT_EQ(first->exit_code(), 0);
+  ASSERT_FALSE(std::filesystem::is_empty(setup.directory.path));
+  auto third = setup.start();
+  second->log_until("a successor process has connected");
+}
+
 // The second process has an older host list in its configuration, and discovery sends it nothing.
 TEST(Upgrade, TheSecondKeepsDrainsReportedToTheFirst) {
   for (const std::string state : {"leaving", "left"}) {
