An attempt that is given up does not reach its host later

Cause: an attempt ends when its connection is closed, but the system goes on sending what the socket had accepted.

Ruled out: late connections and writes that were held up; no attempt began after its request had ended.

Change: a connection to a host that is closed with bytes which the host's system has not acknowledged is reset, which drops them. What the host's system has already is still the host's to read.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -182,6 +182,13 @@
   socket_.close(ignored);
 }
 
+// With a linger time of 0 the system drops its send buffer and resets the connection.
+void TcpStream::abort() {
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  close();
+}
+
 std::unique_ptr<resp::Stream> TcpDialer::dial(const resp::Address& address, Ms timeout,
                                               resp::StreamCallbacks& callbacks) {
   error_code error;
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -33,6 +33,7 @@
   void send_pending_ack() override;
   void shutdown_send() override;
   void close() override;
+  void abort() override;
 
  private:
   bool is_broken();
--- a/src/resp/host_connection.cpp
+++ b/src/resp/host_connection.cpp
@@ -58,11 +58,21 @@
   if (closed_) return;
   closed_ = true;
   count_buffer();
-  stream_->close();
+  close_stream();
   --context_.connection_count;
   pool_->remove(self());
 }
 
+// A request of which a part is still in the send buffer must not reach its host whole later: it would run
+// after its end.
+void HostConnection::close_stream() {
+  if (connected_ && stream_->unacknowledged_bytes() > 0) {
+    stream_->abort();
+  } else {
+    stream_->close();
+  }
+}
+
 void HostConnection::on_connected(Ms now, bool up) {
   if (closed_) return;
   if (!up) return fail(now, Outcome::kConnectFailed);
--- a/src/resp/host_connection.h
+++ b/src/resp/host_connection.h
@@ -65,6 +65,7 @@
     return std::static_pointer_cast<HostConnection>(shared_from_this());
   }
   Outcome outcome_of_disconnect() const;
+  void close_stream();
   void begin_request(Ms remaining_ms);
   void write();
   void read();
--- a/src/resp/stream.h
+++ b/src/resp/stream.h
@@ -70,6 +70,8 @@
   // Closes the sending direction; the peer may still send.
   virtual void shutdown_send() = 0;
   virtual void close() = 0;
+  // Closes the stream. What its system has not sent yet is dropped, where `close` would go on sending.
+  virtual void abort() { close(); }
 };
 
 class Dialer {
