Connections end before the process does, however late its end is noticed

Seen: a process that was held up over its end lost commands that had arrived meanwhile: 85 of 200 clients that completed a command got neither an answer nor an end before it. A connection with an incomplete command stayed open until the process ended, so its rest was reset.

Cause: the process ended at a fixed time, without a look at what lay unread. After a hold-up all timers are due at once, and the event loop takes at most 128 sockets from the system before it runs them. Connections with half a command were never told of the end.

What comes later crosses that end and may be sent again.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -350,6 +350,11 @@
   for (const auto& [id, connection] : connections) connection->start_draining(clock_.now());
 }
 
+void ClientServer::finish() {
+  const auto connections = connections_;  // a copy, as the calls may close some
+  for (const auto& [id, connection] : connections) connection->finish(clock_.now());
+}
+
 std::size_t ClientServer::connection_count() const {
   return connections_.size() + (is_shut_down_ && acceptor_.is_open() ? 1 : 0);
 }
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -80,6 +80,8 @@
   void set_draining(bool on);
   // Closes connections without an unanswered request; the others close after their replies.
   void close_idle();
+  // Closes connections once every command that has arrived whole on them is answered.
+  void finish();
 
   // Frees a descriptor by closing the least valuable connection. False if none may be closed.
   bool evict_one();
--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -56,6 +56,19 @@
   if (processor_) processor_->listener().drain();
 }
 
+// Connections end before the process does, so that a request either has been answered or crosses the end of
+// its connection. A process that is held up over its end still reads what arrived meanwhile.
+void ShutdownSequence::finish_clients(Ms now) {
+  if (!finished_since_) {
+    finished_since_ = now;
+    log_line("the shutdown's deadline has passed",
+             std::to_string(engine_.unanswered_count()) + " requests fail, " +
+                 std::to_string(clients_.connection_count()) + " client connections are closed");
+  }
+  if (engine_.unanswered_count() > 0) engine_.fail_all(now);
+  clients_.finish();
+}
+
 void ShutdownSequence::log_remaining_connections() const {
   const std::size_t connections = clients_.connection_count();
   if (connections > 0) {
@@ -66,9 +79,10 @@
 void ShutdownSequence::await_completion() {
   const Ms now = clock_.now();
   const Ms deadline = *engine_.shutdown_deadline();
-  if (engine_.unanswered_count() > 0 && now >= deadline) engine_.fail_all(now);
+  if (now >= deadline) finish_clients(now);
   const std::size_t proxies = processor_ ? processor_->listener().connection_count() : 0;
-  if (clients_.connection_count() + proxies == 0 || now >= deadline + kLastReplyTime) {
+  const bool is_time_up = finished_since_ && now >= *finished_since_ + kLastReplyTime;
+  if (clients_.connection_count() + proxies == 0 || is_time_up) {
     log_remaining_connections();
     if (processor_)
       log_line("external processor totals", extproc::to_text(processor_->processor().metrics()));
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 #include <functional>
+#include <optional>
 
 #include "engine/engine.h"
 #include "net/client_server.h"
@@ -32,6 +33,7 @@
  private:
   Ms grace_period() const;
   void close_clients();
+  void finish_clients(Ms now);
   void log_remaining_connections() const;
   void await_completion();
 
@@ -42,6 +44,7 @@
   std::function<void()> on_finished_;
   boost::asio::steady_timer timer_;
   bool handed_over_ = false;
+  std::optional<Ms> finished_since_;  // the first time that the deadline was found to have passed
 };
 
 }  // namespace cometfold::net
--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -183,7 +183,8 @@
            std::uint64_t{write_failed_} << 3 | std::uint64_t{paused_} << 4 |
            std::uint64_t{input_rejected_} << 5 | std::uint64_t{lingering_} << 6 |
            std::uint64_t{close_after_reply_} << 7 | std::uint64_t{resume_posted_} << 8 |
-           std::uint64_t{input_ended_} << 9 | std::uint64_t{value_aborted_} << 10);
+           std::uint64_t{input_ended_} << 9 | std::uint64_t{value_aborted_} << 10 |
+           std::uint64_t{finishing_} << 11);
   replies_.digest(into);
 }
 
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -103,6 +103,9 @@
   void close_after_next_reply() { close_after_reply_ = true; }
   // Graceful shutdown: closes as soon as no reply is pending, even if the connection is idle.
   void start_draining(Ms now);
+  // The end of a graceful shutdown: closes as soon as every command that has arrived whole is answered, even
+  // in the middle of one that has not. May be called repeatedly.
+  void finish(Ms now);
   // Closes the connection if it has timed out: no command, an incomplete command, no further command, or a
   // client that does not read its replies. Must be called a few times per second.
   void close_if_timed_out(Ms now);
@@ -189,6 +192,7 @@
   bool input_ended_ = false;             // no more bytes are read, but the buffered commands are answered
   bool close_after_reply_ = false;       // close once no reply is pending
   bool draining_ = false;                // also close while idle
+  bool finishing_ = false;               // also close while a command is incomplete
   bool lingering_ = false;               // the last reply is written and the send side is shut down
 };
 
--- a/src/resp/client_connection_closing.cpp
+++ b/src/resp/client_connection_closing.cpp
@@ -53,6 +53,12 @@
   close_if_allowed(now, {CloseReason::kDrain});
 }
 
+void ClientConnection::finish(Ms now) {
+  finishing_ = true;
+  close_after_reply_ = true;
+  if (!closed_ && !value_aborted_ && replies_.output_empty()) linger_if_done(now);
+}
+
 // Without these timeouts idle and silent clients would occupy the connection table forever.
 void ClientConnection::close_if_timed_out(Ms now) {
   if (closed_) return;
@@ -113,8 +119,9 @@
   // leave them without a reply.
   if (!close_after_reply_ || !replies_.empty() || dispatching_ || paused_) return;
   // The rest of an incomplete command may be in transit.
+  const bool is_complete = input_.empty() || finishing_;
   const bool takes_no_more = input_rejected_ || input_ended_;
-  if (takes_no_more || (stream_->unread_bytes() == 0 && input_.empty())) linger(now);
+  if (takes_no_more || (stream_->unread_bytes() == 0 && is_complete)) linger(now);
 }
 
 // Lingering close: closing a socket with unread bytes sends a reset, which may destroy the last reply in
--- /dev/null
+++ b/tests/shutdown_end_test.cpp
@@ -0,0 +1,81 @@
+// The last moments of a process that has been told to end: what arrives then is answered, or left unread
+// behind the end of its connection.
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "net_support.h"
+
+namespace cometfold::net::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kLongestDeadlineMs = 200;
+constexpr auto kProcessEnd = 800ms;     // after SIGTERM, with that deadline
+constexpr std::size_t kHalfBytes = 40;  // of a command
+constexpr unsigned kCrowd = 200;        // more than the events that are taken from the system at once
+
+boost::json::object short_deadlines(const Listener& host, const Listener& discovery) {
+  auto conf = config(list(7, true, {target("s-1", host.port())}), discovery.port());
+  conf["limits"].as_object()["sockets"] = 1024;
+  conf["admin"] = "127.0.0.1:0";
+  for (auto& settings : conf["settings"].as_object()["lanes"].as_array()) {
+    settings.as_object()["slo_ms"] = kLongestDeadlineMs / 2;
+    settings.as_object()["deadline_ms"] = kLongestDeadlineMs;
+  }
+  return conf;
+}
+
+std::string readiness(const Program& program) {
+  auto peer = Peer::connect(program.admin_port());
+  peer.send("GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  return peer.line();
+}
+
+// Guards against a command whose rest arrives as the process ends: it would be neither answered nor sent
+// again.
+TEST(ShutdownEnd, AnIncompleteCommandsConnectionEndsBeforeTheProcess) {
+  Listener host, discovery;
+  Program program(short_deadlines(host, discovery));
+  auto client = program.client();
+  client.send(query(1).substr(0, kHalfBytes));
+  program.terminate();
+  EXPECT_TRUE(client.closes_in_order());
+  EXPECT_NE(readiness(program).find("503"), std::string::npos);  // it still runs
+  client.close();
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+// Guards against commands that arrived while the process was held up over its end, and were never read.
+TEST(ShutdownEnd, CommandsOfACrowdThatArriveDuringAHoldUpAreAnswered) {
+  Listener host, discovery;
+  Program program(short_deadlines(host, discovery));
+  std::vector<Peer> clients;
+  for (unsigned n = 1; n <= kCrowd; ++n) {
+    clients.push_back(program.client());
+    clients.back().send(query(n).substr(0, kHalfBytes));
+  }
+  EXPECT_NE(readiness(program).find("200"), std::string::npos);  // the halves have been read
+  program.terminate();
+  program.log_until("shutdown begins");
+  {
+    const Stopped stopped(program);
+    stopped.outlast(kProcessEnd);
+    for (unsigned n = 1; n <= kCrowd; ++n) clients[n - 1].send(query(n).substr(kHalfBytes));
+  }
+  unsigned lost = 0;
+  for (auto& client : clients) {
+    try {
+      client.line();
+    } catch (const PeerError&) {
+      ++lost;
+    }
+  }
+  EXPECT_EQ(lost, 0u) << "of " << kCrowd;
+  clients.clear();
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+}  // namespace
+}  // namespace cometfold::net::testing
