A host that hangs in a value is noticed in time where deadlines are short

The value was begun 0.25 s after the deadline and never finished; the answer behind it was lost.

Cause: a host counts as one that pauses only after 1 s of silence. With a short deadline the hold ends before that.

Change: the pause is noticed after a third of the attempt's timeout, at the earliest after 0.25 s and at the latest after 1 s as before, so that the module can hedge and the request fails at its deadline. After its deadline a held value is not begun if its host has given nothing for 0.25 s; it is begun with the next bytes that come.

StreamedValues.AHostThatHangsFailsNoRequestBehindItsValueWhereTheDeadlineIsShort: before, the client got the head of the value; now it gets a refusal or an error for the first request and the answer to the second.

--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -149,7 +149,7 @@
 
   // client_connection_values.cpp: streamed values
   void start_first_value(Ms now);
-  bool must_hold_value(Ms now) const;
+  bool must_hold_value(Ms now);
   void begin_value_if_due(Ms now);
   std::size_t max_value_bytes_ahead() const;
   std::size_t value_bytes_ahead(const ReplySlot& slot, bool is_first) const;
--- a/src/resp/client_connection_values.cpp
+++ b/src/resp/client_connection_values.cpp
@@ -15,8 +15,9 @@
 constexpr std::size_t kMaxScarceValueAheadBytes = std::size_t{4} * 1024;
 // A value is held for at most this time while replies wait behind it. Holding one back for 2 s would fail it.
 constexpr Ms kMaxValueHoldMs = 1'500;
-// A host that has sent nothing of a value for this long has paused.
+// A host that has sent nothing of a value for this long has paused; the second applies after the deadline.
 constexpr Ms kHostPauseMs = 1'000;
+constexpr Ms kLateHostPauseMs = 250;
 // A reply that begins up to this long after its request's deadline is late, but not lost.
 constexpr Ms kLateReplyMs = 500;
 // A held value is begun this long before it would be lost, as the end of the hold is noticed in sweeps.
@@ -49,9 +50,11 @@
 
 // If the value breaks once it is begun, the replies behind it are lost with the connection. So a value whose
 // host has paused is not begun before its next bytes come, however long it has been held.
-bool ClientConnection::must_hold_value(Ms now) const {
+bool ClientConnection::must_hold_value(Ms now) {
   if (!totals_.memory.may_hold_values()) return false;
-  return now < value_held_until_ || now - value_arrived_at_ >= kHostPauseMs;
+  const bool is_late = now >= replies_.first().command.expires_at;
+  const Ms pause = is_late ? kLateHostPauseMs : kHostPauseMs;
+  return now < value_held_until_ || now - value_arrived_at_ >= pause;
 }
 
 void ClientConnection::begin_value_if_due(Ms now) {
--- a/src/resp/host_connection.cpp
+++ b/src/resp/host_connection.cpp
@@ -20,6 +20,10 @@
 // Bytes of a streamed value that must have arrived before it is forwarded. Afterwards no other attempt can
 // replace this one, so the host must have sent more than just an announced length.
 constexpr std::size_t kMinFirstChunkBytes = 2048;
+// A pause is noticed after this part of the attempt's timeout, so that another host can still help, but not
+// before the second, as hosts send in pieces.
+constexpr double kPauseNoticeFraction = 1.0 / 3;
+constexpr Ms kMinPauseNoticeMs = 250;
 
 }  // namespace
 
@@ -109,7 +113,7 @@
 
 bool HostConnection::take_pause_notice(Ms now) {
   if (!value_started_ || reads_paused_ || closed_) return false;
-  if (now - std::max(last_chunk_at_, pause_noticed_at_) < context_.limits.pause_notice_ms) return false;
+  if (now - std::max(last_chunk_at_, pause_noticed_at_) < pause_notice_ms_) return false;
   pause_noticed_at_ = now;
   return true;
 }
@@ -139,6 +143,8 @@
 // Rendered just before it is written, so that the timeout sent to the host does not exceed the time that the
 // client has left.
 void HostConnection::begin_request(Ms remaining_ms) {
+  const Ms part = std::max(remaining_ms * kPauseNoticeFraction, kMinPauseNoticeMs);
+  pause_notice_ms_ = std::min(part, context_.limits.pause_notice_ms);
   request_ = std::exchange(command_, nullptr)->render(remaining_ms);
   write();
 }
--- a/src/resp/host_connection.h
+++ b/src/resp/host_connection.h
@@ -51,7 +51,7 @@
   // The host has stopped sending in the middle of a streamed value.
   bool stalled(Ms now) const;
   // Whether the owner is to be notified that the host pauses in the middle of a streamed value: once for each
-  // `HostPoolLimits::pause_notice_ms` that the pause lasts.
+  // `HostPoolLimits::pause_notice_ms` that the pause lasts, or more often if the attempt's timeout is short.
   bool take_pause_notice(Ms now);
 
   void on_connected(Ms now, bool up) override;
@@ -91,6 +91,7 @@
   Ms idle_since_ = 0;
   Ms last_chunk_at_ = 0;  // time of the last chunk of a streamed value
   Ms pause_noticed_at_ = 0;
+  Ms pause_notice_ms_ = 0;  // of the attempt in flight
   bool connected_ = false;
   bool closed_ = false;
   bool write_blocked_ = false;  // awaiting `on_writable`
