A process that is short of descriptors for a moment still starts

Cause: the sockets of the start are opened once; an error of any kind ends the process.

Change: while no socket can be opened (EMFILE, ENFILE, ENOBUFS, ENOMEM) that is repeated every 10 ms for up to 2 s. Nobody is served yet. Sockets of peers and of the external processor are not covered.

SystemFaults.AStartWithoutDescriptorsForAMomentSucceeds: the process ended before, starts now.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -8,6 +8,7 @@
 #include "net/gateway_limits.h"
 #include "net/log.h"
 #include "net/request_log.h"
+#include "net/socket_retry.h"
 #include "ops/handover_state.h"
 #include "ops/metrics.h"
 
@@ -95,7 +96,7 @@
     if (!cancelled) discovery_contacted_ = true;
   });
   if (admin_) {
-    admin_->listen(*config_.get().admin);
+    retry_while_out_of_sockets([this] { admin_->listen(*config_.get().admin); });
     log_line("admin server is listening", to_text(admin_->address()));
   }
   if (peers_) peers_->start();
--- a/src/net/predecessor.cpp
+++ b/src/net/predecessor.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/handover.h"
+#include "net/socket_retry.h"
 #include "ops/handover_state.h"
 
 namespace cometfold::net {
@@ -21,6 +22,7 @@
   // Too long for the name of a socket; SuccessorListener::listen logs it.
   if (path.size() >= sizeof(sockaddr_un::sun_path)) return nullptr;
   Stream stream(io);
+  retry_while_out_of_sockets([&] { stream.open(); });
   error_code error;
   stream.connect(stream_protocol::endpoint(path), error);
   if (error) return nullptr;  // no such file, or one left behind by a dead process
--- a/src/net/upgrade_coordinator.cpp
+++ b/src/net/upgrade_coordinator.cpp
@@ -5,6 +5,7 @@
 
 #include "net/endpoint_text.h"
 #include "net/log.h"
+#include "net/socket_retry.h"
 
 namespace cometfold::net {
 namespace asio = boost::asio;
@@ -34,7 +35,7 @@
 void UpgradeCoordinator::start(const tcp::endpoint& address) {
   address_ = address;
   if (predecessor_) return wait_for_predecessor();
-  clients_.listen(address);
+  retry_while_out_of_sockets([&] { clients_.listen(address); });
   serve();
 }
 
@@ -93,7 +94,7 @@
     log_line("listening after the predecessor's exit", to_text(clients_.address()));
     serve();
   } catch (const boost::system::system_error& error) {
-    if (error.code() != asio::error::address_in_use) throw;
+    if (error.code() != asio::error::address_in_use && !is_out_of_sockets(error.code())) throw;
     listen_timer_.expires_after(kListenRetryDelay);
     listen_timer_.async_wait([this](error_code cancelled) {
       if (!cancelled) listen_after_exit();
--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -43,6 +43,21 @@
   }
 }
 
+// Guards against a process that ends at its start, as a socket can't be opened for a moment.
+TEST(SystemFaults, AStartWithoutDescriptorsForAMomentSucceeds) {
+  for (const int error : {EMFILE, ENFILE, ENOBUFS}) {
+    Listener host, discovery;
+    FaultPlan plan;
+    plan.fail_next(Call::kSocket, error, 5);
+    auto conf = config(host_list({target("s-1", host.port())}), discovery.port());
+    conf["admin"] = "127.0.0.1:0";
+    Program program(conf, plan.environment());
+    EXPECT_EQ(plan.hits(Call::kSocket), 5);
+    auto client = program.client();
+    expect_pong(client);
+  }
+}
+
 TEST(SystemFaults, AnInterruptedCallLosesNoRequest) {
   for (const auto& [call, error] : {std::pair(Call::kRecv, EINTR), std::pair(Call::kSend, EINTR),
                                     std::pair(Call::kSend, ENOBUFS), std::pair(Call::kSend, ENOMEM)}) {
