A reload during a shutdown may bring its end forward

The new settings shorten the longest deadline, and with it the time until SIGKILL, but the shutdown kept its end: 3.45 s after SIGTERM where SIGKILL may come after 0.9 s. What was unanswered then was lost.

Cause: the shutdown's deadline was computed once, at SIGTERM.

Change: settings with a shorter one bring it forward, counted from SIGTERM; a longer one changes nothing, as before.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -307,7 +307,15 @@
 // ---- shutdown ----
 
 void Engine::begin_shutdown(Ms now) {
-  if (!shutdown_deadline_) shutdown_deadline_ = now + limits_.shutdown_timeout_ms;
+  if (shutdown_deadline_) return;
+  shutdown_began_at_ = now;
+  shutdown_deadline_ = now + limits_.shutdown_timeout_ms;
+}
+
+void Engine::set_limits(const EngineLimits& limits) {
+  limits_ = limits;
+  if (!shutdown_deadline_) return;
+  shutdown_deadline_ = std::min(*shutdown_deadline_, shutdown_began_at_ + limits.shutdown_timeout_ms);
 }
 
 void Engine::fail_all(Ms now) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -117,7 +117,8 @@
   // the engine.
   void set_event_listener(RequestEventListener listener) { tracer_.set_listener(std::move(listener)); }
   // Applies to requests that are accepted from now on.
-  void set_limits(const EngineLimits& limits) { limits_ = limits; }
+  // During a shutdown a shorter timeout of it brings its deadline forward; a longer one changes nothing.
+  void set_limits(const EngineLimits& limits);
 
   std::size_t unanswered_count() const { return requests_.unanswered_count(); }
   // Requests without their final reply, and answered ones whose attempts have not all ended.
@@ -160,6 +161,7 @@
   ReplyDispatcher replies_;
   Ms now_ = 0;  // of the current call
   bool processing_pending_ = false;
+  Ms shutdown_began_at_ = 0;
   std::optional<Ms> shutdown_deadline_;
 };
 
--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -32,19 +32,30 @@
                                   std::to_string(clients_.connection_count()) + " client connections");
   if (processor_) processor_->listener().announce_drain();
   handed_over_ = handed_over;
-  timer_.expires_at(clock_.at(clock_.now() + grace_period()));
+  began_at_ = clock_.now();
+  await_grace_end();
+}
+
+void ShutdownSequence::await_grace_end() {
+  in_grace_period_ = true;
+  timer_.expires_at(clock_.at(grace_end()));
   timer_.async_wait([this](error_code cancelled) {
     if (cancelled) return;
+    in_grace_period_ = false;
     close_clients();
     await_completion();
   });
 }
 
-// Milliseconds from now until idle connections are closed.
-Ms ShutdownSequence::grace_period() const {
-  const Ms regular = std::chrono::duration<Ms, std::milli>(kDrainGracePeriod).count();
+void ShutdownSequence::on_limits_changed() {
+  if (in_grace_period_) await_grace_end();
+}
+
+// When idle connections are closed.
+Ms ShutdownSequence::grace_end() const {
+  const Ms regular = began_at_ + std::chrono::duration<Ms, std::milli>(kDrainGracePeriod).count();
   if (!handed_over_) return regular;
-  return std::max(regular, *engine_.shutdown_deadline() - kLastRequestTime - clock_.now());
+  return std::max(regular, *engine_.shutdown_deadline() - kLastRequestTime);
 }
 
 void ShutdownSequence::close_clients() {
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -29,9 +29,12 @@
   void start(bool handed_over, ProcessorServer* processor);
   // A successor has got the listening socket after `start`.
   void on_handed_over() { handed_over_ = true; }
+  // The engine's shutdown deadline may have come forward.
+  void on_limits_changed();
 
  private:
-  Ms grace_period() const;
+  void await_grace_end();
+  Ms grace_end() const;
   void close_clients();
   void finish_clients(Ms now);
   void log_remaining_connections() const;
@@ -43,7 +46,9 @@
   ProcessorServer* processor_ = nullptr;
   std::function<void()> on_finished_;
   boost::asio::steady_timer timer_;
+  Ms began_at_ = 0;
   bool handed_over_ = false;
+  bool in_grace_period_ = false;      // idle connections are not closed yet
   std::optional<Ms> finished_since_;  // the first time that the deadline was found to have passed
 };
 
--- a/tests/shutdown_end_test.cpp
+++ b/tests/shutdown_end_test.cpp
@@ -77,5 +77,29 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+// Guards against requests that SIGKILL finds unanswered, as a reload close to SIGTERM shortens the longest
+// deadline from which its time counts, and is read after it.
+TEST(ShutdownEnd, AReloadThatShortensTheLongestDeadlineBringsTheEndForward) {
+  Listener host, discovery;
+  auto conf = short_deadlines(host, discovery);
+  const auto shortened = conf;
+  for (auto& settings : conf["settings"].as_object()["lanes"].as_array()) {
+    settings.as_object()["deadline_ms"] = 60'000.0;
+  }
+  Program program(conf);
+  auto client = program.client();
+  client.send(query(1));
+  auto upstream = host.accept();
+  upstream.command();
+  const auto terminated_at = std::chrono::steady_clock::now();
+  program.terminate();
+  program.log_until("shutdown begins");
+  program.reload(boost::json::serialize(shortened));
+  EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
+  EXPECT_LT(std::chrono::steady_clock::now() - terminated_at, 3s);  // 3.45 s with the earlier deadline
+  client.close();
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
 }  // namespace
 }  // namespace cometfold::net::testing
