The ids of requests that may not be repeated are handed over at an upgrade

Cause: which ids are in use was known to one process only; the hand-over carried none.

Change: the hand-over has the ids of open requests whose class is not safe to repeat, and of those that may have run for clients that have left, with the time for which each stays in use. The second process treats them as its own that have run. Processes without the key understand each other as before.

--- a/include/cometfold/admission_controller.h
+++ b/include/cometfold/admission_controller.h
@@ -246,14 +246,22 @@
   std::optional<double> boot_unix_ms;
 };
 
+// The identity of a request that may run, or may have run, and whose class is not safe to repeat.
+struct IdentityInUse {
+  std::uint64_t identity = 0;
+  Ms remaining_ms = 0;  // for which no other request may have it
+};
+
 // State that a gateway hands over to the process that replaces it.
 struct HandoverSnapshot {
   Ms age_ms = 0;  // time over which the predecessor and its own predecessors have counted demand
   std::vector<CustomerSnapshot> customers = {};
   std::vector<HostSnapshot> hosts = {};
-  std::vector<Ms> class_latency_ms = {};          // mean latency by class; 0: unknown
-  Ms unloaded_latency_ms = 0;                     // mean latency without queueing; 0: unknown
-  std::vector<DepartedHost> departed_hosts = {};  // for the gateway; neither read nor set by the module
+  std::vector<Ms> class_latency_ms = {};  // mean latency by class; 0: unknown
+  Ms unloaded_latency_ms = 0;             // mean latency without queueing; 0: unknown
+  // For the gateway; neither read nor set by the module.
+  std::vector<DepartedHost> departed_hosts = {};
+  std::vector<IdentityInUse> identities_in_use = {};
 };
 
 // Makes the decisions of one gateway. Events must be passed in order of time; the resulting actions are
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -117,6 +117,11 @@
   // the engine.
   void set_event_listener(RequestEventListener listener) { tracer_.set_listener(std::move(listener)); }
   // Applies to requests that are accepted from now on.
+  // For the process that takes over from this one, and in it. See `RequestTable`.
+  std::vector<IdentityInUse> identities_in_use(Ms now) const { return requests_.identities_in_use(now); }
+  void reserve_identities(Ms now, std::vector<IdentityInUse> identities) {
+    requests_.reserve_identities(now, std::move(identities));
+  }
   // During a shutdown a shorter timeout of it brings its deadline forward; a longer one changes nothing.
   void set_limits(const EngineLimits& limits);
 
--- a/src/engine/request_table.cpp
+++ b/src/engine/request_table.cpp
@@ -12,6 +12,10 @@
 constexpr Ms kExecutedIdentityMs = 30'000;
 constexpr std::size_t kMaxExecutedIdentities = 16'384;
 
+bool may_run_again(const PendingRequest& request) {
+  return request.class_settings && request.class_settings->idempotency == Idempotency::kIdempotent;
+}
+
 }  // namespace
 
 std::pair<RequestId, PendingRequest&> RequestTable::add(PendingRequest request) {
@@ -52,17 +56,40 @@
   const bool may_have_executed =
       std::any_of(request.attempts.begin(), request.attempts.end(),
                   [](const Attempt& attempt) { return attempt.may_have_executed; });
-  const bool may_run_again =
-      request.class_settings && request.class_settings->idempotency == Idempotency::kIdempotent;
-  if (!may_have_executed || may_run_again) {
+  if (!may_have_executed || may_run_again(request)) {
     open_identities_.erase(request.identity);
     return;
   }
+  keep_identity(request.identity, request.expires_at + kExecutedIdentityMs);
+}
+
+void RequestTable::keep_identity(std::uint64_t identity, Ms in_use_until) {
   if (executed_identities_.size() >= kMaxExecutedIdentities) {
     open_identities_.erase(executed_identities_.front().identity);
     executed_identities_.pop_front();
   }
-  executed_identities_.push_back({request.identity, request.expires_at + kExecutedIdentityMs});
+  executed_identities_.push_back({identity, in_use_until});
+}
+
+std::vector<IdentityInUse> RequestTable::identities_in_use(Ms now) const {
+  std::vector<IdentityInUse> identities;
+  for (const auto& [id, request] : requests_) {
+    if (!open_identities_.contains(request.identity) || may_run_again(request)) continue;
+    identities.push_back({request.identity, request.expires_at + kExecutedIdentityMs - now});
+  }
+  for (const ExecutedIdentity& executed : executed_identities_) {
+    if (executed.in_use_until > now) identities.push_back({executed.identity, executed.in_use_until - now});
+  }
+  return identities;
+}
+
+void RequestTable::reserve_identities(Ms now, std::vector<IdentityInUse> identities) {
+  std::sort(identities.begin(), identities.end(),
+            [](const auto& one, const auto& other) { return one.remaining_ms < other.remaining_ms; });
+  for (const IdentityInUse& reserved : identities) {
+    if (!open_identities_.insert(reserved.identity).second) continue;
+    keep_identity(reserved.identity, now + reserved.remaining_ms);
+  }
 }
 
 bool RequestTable::identity_in_use(Ms now, std::uint64_t identity) {
--- a/src/engine/request_table.h
+++ b/src/engine/request_table.h
@@ -70,6 +70,10 @@
   // Whether another request with this identity is open, or may have been executed shortly before `now` for a
   // client that disconnected.
   bool identity_in_use(Ms now, std::uint64_t identity);
+  // Those of classes that are not idempotent, for a process that takes over.
+  std::vector<IdentityInUse> identities_in_use(Ms now) const;
+  // Another process has requests with these identities, which stay in use as if they had been executed here.
+  void reserve_identities(Ms now, std::vector<IdentityInUse> identities);
   // Whether `token` is the id of a request that has been erased.
   bool is_erased(std::uint64_t token) const { return token <= last_request_id_ && !contains(token); }
 
@@ -104,6 +108,7 @@
   };
 
   void release_identity(const PendingRequest& request);
+  void keep_identity(std::uint64_t identity, Ms in_use_until);
 
   std::unordered_set<std::uint64_t> open_identities_;
   std::deque<ExecutedIdentity> executed_identities_;  // also in `open_identities_`; the oldest first
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -254,6 +254,7 @@
   try {
     const auto snapshot = ops::decode_handover(state, {config.class_names, config.plan_names});
     policy_.import_handover(clock_.now(), snapshot);
+    engine_.reserve_identities(clock_.now(), snapshot.identities_in_use);
     // The predecessor's host list may be newer than this process's.
     const auto removals = host_registry_.remove(snapshot.departed_hosts);
     engine_.on_host_list(clock_.now(), HostListUpdate::kDelta, removals);
@@ -287,6 +288,7 @@
   const Config& config = config_.get();
   auto snapshot = policy_.export_handover(clock_.now());
   snapshot.departed_hosts = host_registry_.departed_hosts();
+  snapshot.identities_in_use = engine_.identities_in_use(clock_.now());
   upgrade_->hand_over(
       ops::encode_handover(snapshot, {config.class_names, config.plan_names}, config.settings.plans));
   clients_.release_listener();
--- a/src/ops/handover_state.cpp
+++ b/src/ops/handover_state.cpp
@@ -25,6 +25,7 @@
 constexpr char kClassLatencyKey[] = "class_ms";
 constexpr char kUnloadedLatencyKey[] = "calm_ms";
 constexpr char kDepartedHostsKey[] = "departed";
+constexpr char kIdentitiesKey[] = "ids";
 
 // Adds the key to errors of the JSON library.
 template <class Decode>
@@ -165,6 +166,18 @@
   return hosts;
 }
 
+json::value encode_identity(const IdentityInUse& held) {
+  return json::array{held.identity, held.remaining_ms};
+}
+
+std::vector<IdentityInUse> decode_identities(const json::value& value) {
+  std::vector<IdentityInUse> identities;
+  for (const auto& element : value.as_array()) {
+    identities.push_back({element.at(0).to_number<std::uint64_t>(), finite_number(element.at(1))});
+  }
+  return identities;
+}
+
 // Selects at most kMaxHandoverCustomers.
 std::vector<const CustomerSnapshot*> select_customers(std::span<const CustomerSnapshot> customers,
                                                       std::span<const PlanSettings> plans) {
@@ -211,6 +224,10 @@
   if (const auto* departed = object.if_contains(kDepartedHostsKey)) {
     state.departed_hosts = decode_member(kDepartedHostsKey, [&] { return decode_departed_hosts(*departed); });
   }
+  // Older processes send no identities, and neither do those that have none in use.
+  if (const auto* identities = object.if_contains(kIdentitiesKey)) {
+    state.identities_in_use = decode_member(kIdentitiesKey, [&] { return decode_identities(*identities); });
+  }
   return state;
 }
 
@@ -236,7 +253,7 @@
   const auto hosts = all_hosts.first(std::min(all_hosts.size(), kMaxHandoverCustomers));
   json::array class_latency;
   for (const Ms latency : state.class_latency_ms) class_latency.emplace_back(latency);
-  return json::serialize(json::object{
+  json::object encoded{
       {kVersionKey, kVersion},
       {kAgeKey, all ? state.age_ms : 0},
       {kClassNamesKey, encode_names(names.classes)},
@@ -245,7 +262,13 @@
       {kHostsKey, encode_items<HostSnapshot>(hosts, encode_host)},
       {kClassLatencyKey, std::move(class_latency)},
       {kUnloadedLatencyKey, state.unloaded_latency_ms},
-      {kDepartedHostsKey, encode_items<DepartedHost>(state.departed_hosts, encode_departed_host)}});
+      {kDepartedHostsKey, encode_items<DepartedHost>(state.departed_hosts, encode_departed_host)}};
+  if (!state.identities_in_use.empty()) {
+    const std::span all_identities(state.identities_in_use);
+    const auto identities = all_identities.first(std::min(all_identities.size(), kMaxHandoverIdentities));
+    encoded[kIdentitiesKey] = encode_items<IdentityInUse>(identities, encode_identity);
+  }
+  return json::serialize(encoded);
 }
 
 HandoverSnapshot decode_handover(std::string_view text, const HandoverNames& names) {
--- a/src/ops/handover_state.h
+++ b/src/ops/handover_state.h
@@ -32,6 +32,7 @@
 
 // Customers beyond this number are omitted. Those with a ceiling come first, then the most recently active.
 constexpr std::size_t kMaxHandoverCustomers = 20'000;
+constexpr std::size_t kMaxHandoverIdentities = 50'000;
 constexpr std::size_t kMaxHandoverBytes = std::size_t{8} * 1024 * 1024;  // of the text
 
 // Returns the text without a line feed. `plans` is ordered by plan index.
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -63,6 +63,7 @@
                          90};
   state.customers[0].class_levels = {1, 2};
   state.departed_hosts = {{43, 1234.5}, {44, std::nullopt}};
+  state.identities_in_use = {{0xfedcba9876543210, 1'500}};
   const PlanSettings plan;
   const auto text = ops::encode_handover(state, {sender_classes, plans}, std::span(&plan, 1));
   const auto decoded = ops::decode_handover(text, {receiver_classes, plans});
@@ -78,6 +79,9 @@
   EXPECT_EQ(decoded.departed_hosts[0].id, 43u);
   EXPECT_EQ(decoded.departed_hosts[0].boot_unix_ms, 1234.5);
   EXPECT_FALSE(decoded.departed_hosts[1].boot_unix_ms);
+  ASSERT_EQ(decoded.identities_in_use.size(), 1u);
+  EXPECT_EQ(decoded.identities_in_use[0].identity, 0xfedcba9876543210);
+  EXPECT_EQ(decoded.identities_in_use[0].remaining_ms, 1'500);
 
   const auto older = ops::decode_handover(R"({"version":1,"age_ms":1,"classes":["look"],"plans":["team"],)"
                                           R"("customers":[[7,0,1,1,1,1,0,0,[1]]]})",
@@ -86,6 +90,7 @@
   EXPECT_EQ(older.customers[0].attempts_in_flight, 0);
   EXPECT_TRUE(older.hosts.empty());
   EXPECT_TRUE(older.departed_hosts.empty());
+  EXPECT_TRUE(older.identities_in_use.empty());
   EXPECT_THROW(
       ops::decode_handover(R"({"version":1,"age_ms":1,"classes":[],"plans":[],"customers":[],"hosts":[[1]]})",
                            {receiver_classes, plans}),
