Test: a client leaves only once its command is being written

Seen: AbandonedAttempts.TheRestOfACommandIsNotSentAfterItsClientLeft failed once under the sanitizers beside other tests. Only the expected reset was missing; the host had not got the command. The client may leave before the command's first byte is written, and then nothing is in the send buffer.

--- a/tests/abandoned_attempts_test.cpp
+++ b/tests/abandoned_attempts_test.cpp
@@ -38,6 +38,7 @@
   auto client = program.client();
   client.send(large_submit("pay", 1));
   auto upstream = host.accept();
+  ASSERT_TRUE(upstream.receive());  // the command is being written
   client.close();
   EXPECT_TRUE(upstream.is_reset());
   EXPECT_FALSE(receives_whole_command(upstream));
@@ -54,6 +55,7 @@
   text.replace(text.find(long_timeout), long_timeout.size(), short_timeout);
   client.send(text);
   auto upstream = host.accept();
+  ASSERT_TRUE(upstream.receive());
   EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
   EXPECT_TRUE(upstream.is_reset());
   EXPECT_FALSE(receives_whole_command(upstream));
@@ -73,6 +75,7 @@
   auto client = program.client();
   client.send(large_submit("pay", 1));
   auto upstream = host.accept();
+  ASSERT_TRUE(upstream.receive());
   program.terminate();
   EXPECT_EQ(client.reply().substr(0, 4), "-ERR");
   client.close();
