A shutdown cuts off no value that is being passed on

What callers saw: during a stop, long values ended in the middle 3.45 s after SIGTERM, a quarter of a second before SIGKILL could come, although their hosts were still giving them; so did replies that a slow client had not read yet.

Cause: at the shutdown's deadline the process failed every unanswered request, which cuts a streamed value off, and ended 0.15 s later whatever was unwritten.

H1 (own deadline) against H2 (SIGKILL), H3 (hosts), H4 (a close rule): times and log leave H1 only.

Change: at the deadline only requests of which the client has nothing fail. Values go on until they are whole, their host or client stalls (10 s), a minute has passed or SIGKILL comes; the process ends once no reply is on its way.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -318,17 +318,34 @@
   shutdown_deadline_ = std::min(*shutdown_deadline_, shutdown_began_at_ + limits.shutdown_timeout_ms);
 }
 
-void Engine::fail_all(Ms now) {
+// Whether the client has received part of the request's value. A value of which it has received nothing is
+// withdrawn, so that an error may take its place.
+bool Engine::is_passed_on(Ms now, RequestId id) {
+  return replies_.is_streaming(id) && !replies_.withdraw_value(now, id);
+}
+
+void Engine::fail_at_shutdown(Ms now, RequestId id) {
+  replies_.fail(now, id, FailureReason::kShuttingDown);
+  policy_.call(PolicyCaller::kNoRequest,
+               [&](AdmissionPolicy& policy) { policy.on_client_disconnected(now, id, *this); });
+}
+
+void Engine::fail_unbegun(Ms now) {
   now_ = now;
   if (mutant(Mutant::kShutdownWithoutReplies)) return;
   for (const auto id : requests_.unanswered_ids()) {
-    replies_.fail(now, id, FailureReason::kShuttingDown);
-    policy_.call(PolicyCaller::kNoRequest,
-                 [&](AdmissionPolicy& policy) { policy.on_client_disconnected(now, id, *this); });
+    if (!is_passed_on(now, id)) fail_at_shutdown(now, id);
   }
   process_pending();
 }
 
+void Engine::fail_all(Ms now) {
+  now_ = now;
+  if (mutant(Mutant::kShutdownWithoutReplies)) return;
+  for (const auto id : requests_.unanswered_ids()) fail_at_shutdown(now, id);
+  process_pending();
+}
+
 void Engine::digest(Digest& into) const {
   requests_.digest(into);
   timers_.digest(requests_, into);
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -88,11 +88,15 @@
   std::optional<Ms> next_timer() { return timers_.next(requests_); }
   void run_timers(Ms now);
 
-  // Begins a graceful shutdown: every request gets its reply within `EngineLimits::shutdown_timeout_ms`.
+  // Begins a graceful shutdown: every request gets its reply, or the first bytes of it, within
+  // `EngineLimits::shutdown_timeout_ms`.
   void begin_shutdown(Ms now);
   std::optional<Ms> shutdown_deadline() const { return shutdown_deadline_; }
-  // Fails all unanswered requests. Unlike a rejection, a failure does not imply that a retry is safe, so it
-  // is correct for every class, whatever has been executed.
+  // Fails all unanswered requests but those whose client has received part of a value: that goes on, and
+  // failing it would cut it off. Unlike a rejection, a failure does not imply that a retry is safe, so it is
+  // correct for every class, whatever has been executed.
+  void fail_unbegun(Ms now);
+  // Fails all unanswered requests, and cuts off values that are being passed on.
   void fail_all(Ms now);
 
   // The last byte of an attempt has been written. Only counts and traces it, so this may be called from
@@ -152,6 +156,8 @@
   void expire(RequestId id);
   void end_value(Ms now, RequestTable::AttemptRef ref, Outcome outcome, std::string_view value);
   void fail_interrupted_value(RequestId id);
+  bool is_passed_on(Ms now, RequestId id);
+  void fail_at_shutdown(Ms now, RequestId id);
 
   EngineLogger logger_;
   EngineLimits limits_;
--- a/src/explore/world_actions.cpp
+++ b/src/explore/world_actions.cpp
@@ -217,7 +217,7 @@
 }
 
 void World::fail_remaining(const Step&) {
-  gateway_->engine.fail_all(now_);
+  gateway_->engine.fail_unbegun(now_);
   if (gateway_->engine.unanswered_count() > 0) {
     report_violation("no request lost", "the shutdown left a request without a reply");
   }
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -355,6 +355,11 @@
   for (const auto& [id, connection] : connections) connection->finish(clock_.now());
 }
 
+bool ClientServer::awaits_delivery() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->awaits_delivery(); });
+}
+
 std::size_t ClientServer::connection_count() const {
   return connections_.size() + (is_shut_down_ && acceptor_.is_open() ? 1 : 0);
 }
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -82,6 +82,8 @@
   void close_idle();
   // Closes connections once every command that has arrived whole on them is answered.
   void finish();
+  // Whether a reply has begun on some connection but has not reached its client's system whole.
+  bool awaits_delivery() const;
 
   // Frees a descriptor by closing the least valuable connection. False if none may be closed.
   bool evict_one();
--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -18,6 +18,9 @@
 // requests that arrive on them last can still be answered.
 constexpr Ms kLastRequestTime = 850;
 constexpr Ms kLastReplyTime = 150;  // for clients to read their last replies
+// Beyond the shutdown's deadline, for values that are being passed on and for replies that clients read
+// slowly. The platform may end the process sooner.
+constexpr Ms kMaxValueTime = 60'000;
 constexpr auto kPollInterval = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -68,16 +71,28 @@
 }
 
 // Connections end before the process does, so that a request either has been answered or crosses the end of
-// its connection. A process that is held up over its end still reads what arrived meanwhile.
+// its connection. A process that is held up over its end still reads what arrived meanwhile. A value that is
+// being passed on is not cut off: its request is lost if this process ends it, and only if it came late if
+// SIGKILL does.
 void ShutdownSequence::finish_clients(Ms now) {
-  if (!finished_since_) {
-    finished_since_ = now;
-    log_line("the shutdown's deadline has passed",
-             std::to_string(engine_.unanswered_count()) + " requests fail, " +
-                 std::to_string(clients_.connection_count()) + " client connections are closed");
+  const std::size_t unanswered = engine_.unanswered_count();
+  if (unanswered > 0) engine_.fail_unbegun(now);
+  if (!deadline_passed_at_) {
+    deadline_passed_at_ = now;
+    const std::size_t values = engine_.unanswered_count();
+    log_line("the shutdown's deadline has passed", std::to_string(unanswered - values) + " requests fail, " +
+                                                       std::to_string(values) + " values are passed on, " +
+                                                       std::to_string(clients_.connection_count()) +
+                                                       " client connections are closed");
   }
-  if (engine_.unanswered_count() > 0) engine_.fail_all(now);
   clients_.finish();
+  if (clients_.awaits_delivery()) undelivered_at_ = now;
+}
+
+bool ShutdownSequence::is_time_up(Ms now) const {
+  if (!deadline_passed_at_) return false;
+  if (now >= *deadline_passed_at_ + kMaxValueTime) return true;
+  return now >= std::max(*deadline_passed_at_, undelivered_at_) + kLastReplyTime;
 }
 
 void ShutdownSequence::log_remaining_connections() const {
@@ -92,8 +107,8 @@
   const Ms deadline = *engine_.shutdown_deadline();
   if (now >= deadline) finish_clients(now);
   const std::size_t proxies = processor_ ? processor_->listener().connection_count() : 0;
-  const bool is_time_up = finished_since_ && now >= *finished_since_ + kLastReplyTime;
-  if (clients_.connection_count() + proxies == 0 || is_time_up) {
+  if (clients_.connection_count() + proxies == 0 || is_time_up(now)) {
+    if (engine_.unanswered_count() > 0) engine_.fail_all(now);
     log_remaining_connections();
     if (processor_)
       log_line("external processor totals", extproc::to_text(processor_->processor().metrics()));
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -37,6 +37,7 @@
   Ms grace_end() const;
   void close_clients();
   void finish_clients(Ms now);
+  bool is_time_up(Ms now) const;
   void log_remaining_connections() const;
   void await_completion();
 
@@ -48,8 +49,9 @@
   boost::asio::steady_timer timer_;
   Ms began_at_ = 0;
   bool handed_over_ = false;
-  bool in_grace_period_ = false;      // idle connections are not closed yet
-  std::optional<Ms> finished_since_;  // the first time that the deadline was found to have passed
+  bool in_grace_period_ = false;          // idle connections are not closed yet
+  std::optional<Ms> deadline_passed_at_;  // when the deadline was first found to have passed
+  Ms undelivered_at_ = 0;                 // when replies were last on their way after that
 };
 
 }  // namespace cometfold::net
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -87,6 +87,8 @@
   bool client_disconnected() const { return closed_ || stream_->peer_closed(); }
   // Bytes that have arrived but have not been read.
   std::size_t unread_bytes() const { return stream_->unread_bytes(); }
+  // Part of a reply has been written or is about to be, and not all of it has reached the client's system.
+  bool awaits_delivery() const;
   // No complete command has arrived yet.
   bool is_silent() const { return !replies_.has_replied() && replies_.empty() && !lingering_; }
   // Connections with larger values are closed first when a new connection needs capacity. 0: not closed, as a
--- a/src/resp/client_connection_closing.cpp
+++ b/src/resp/client_connection_closing.cpp
@@ -29,6 +29,12 @@
           .command_awaited_ms = input_.command_awaited_for(now)};
 }
 
+bool ClientConnection::awaits_delivery() const {
+  const bool value_begun = replies_.streams_value() && replies_.first().begun;
+  return value_begun || !replies_.output_empty() ||
+         (awaits_acknowledgement_ && stream_->unacknowledged_bytes() > 0);
+}
+
 bool ClientConnection::is_reply_pending() const {
   const bool commands_wait = paused_ && !value_aborted_ && !input_.empty();
   return !replies_.empty() || !replies_.output_empty() || commands_wait;
--- a/src/resp/reply_queue.h
+++ b/src/resp/reply_queue.h
@@ -51,6 +51,7 @@
   bool empty() const { return slots_.empty(); }
   std::size_t size() const { return slots_.size(); }
   ReplySlot& first() { return slots_.front(); }
+  const ReplySlot& first() const { return slots_.front(); }
   bool has_replied() const { return first_sequence_ > 0; }
   bool has_complete_slot() const;
   // The first reply is a streamed value that is not complete.
--- a/tests/shutdown_end_test.cpp
+++ b/tests/shutdown_end_test.cpp
@@ -2,6 +2,7 @@
 // behind the end of its connection.
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net_support.h"
@@ -101,5 +102,69 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+// Guards against a value that the process itself cuts off at its deadline, while its host goes on giving it.
+TEST(ShutdownEnd, AValueThatIsPassedOnIsNotCutAtTheDeadline) {
+  Listener host, discovery;
+  Program program(short_deadlines(host, discovery));
+  auto client = program.client();
+  client.send(query(1));
+  auto upstream = host.accept();
+  upstream.command();
+  const std::string value(200'000, 'v');
+  const auto reply = served(value);
+  upstream.send(reply.substr(0, 100'000));
+  EXPECT_EQ(client.line(), "$200000");
+  program.terminate();
+  program.log_until("the shutdown's deadline has passed: 0 requests fail, 1 values are passed on");
+  upstream.send(reply.substr(100'000));
+  EXPECT_EQ(client.exactly(value.size() + 2), value + "\r\n");
+  EXPECT_TRUE(client.closes_in_order());
+  client.close();
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+// Guards against a reply that the end of the process cuts off, as its client reads it slowly.
+TEST(ShutdownEnd, AReplyThatIsReadSlowlyIsNotCutAtTheDeadline) {
+  Listener host, discovery;
+  Program program(short_deadlines(host, discovery));
+  auto client = program.client();
+  client.send(query(1));
+  auto upstream = host.accept();
+  upstream.command();
+  const std::string value(std::size_t{4} << 20, 'v');
+  const std::jthread sender([&] {
+    try {
+      upstream.send(served(value));
+    } catch (const PeerError&) {
+      // the client's side of the test fails
+    }
+  });
+  EXPECT_EQ(client.line(), "$" + std::to_string(value.size()));
+  program.terminate();
+  program.log_until("the shutdown's deadline has passed");
+  std::this_thread::sleep_for(kProcessEnd);
+  EXPECT_EQ(client.exactly(value.size() + 2), value + "\r\n");
+  EXPECT_TRUE(client.closes_in_order());
+  client.close();
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+// Guards against a process that waits for a value whose client has gone, or whose host has hung, for ever.
+TEST(ShutdownEnd, AValueWhoseHostBreaksEndsWithTheProcess) {
+  Listener host, discovery;
+  Program program(short_deadlines(host, discovery));
+  auto client = program.client();
+  client.send(query(1));
+  auto upstream = host.accept();
+  upstream.command();
+  upstream.send(served(std::string(200'000, 'v')).substr(0, 100'000));
+  EXPECT_EQ(client.line(), "$200000");
+  program.terminate();
+  program.log_until("the shutdown's deadline has passed");
+  upstream.reset();
+  EXPECT_TRUE(client.wait_for_close());
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
 }  // namespace
 }  // namespace cometfold::net::testing
