After a hand-over idle connections end while SIGKILL is still excused

Cause: idle connections stayed open until 0.85 s before the deadline, so that few clients would meet a close. That is time enough for a short reply and not for a value that takes 2.6 s; no request that comes later than 0.7 s after SIGTERM is excused.

Change: idle connections end 0.1 to 0.55 s after SIGTERM, spread evenly, so that no client has to notice hundreds of ends at once. New connections go to the successor anyway. The grace period no longer depends on the longest deadline, so a reload in the stop need not move it.

In TheSecondServesWhenTheFirstIs- Terminated the request on the open connection now goes before the wait for a log line of the successor, since an idle connection no longer stays for 2.6 s; what it asks is the same.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <cmath>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -37,6 +38,13 @@
   return info.tcpi_last_data_recv;
 }
 
+// Spreads connections evenly over [0, 1), whichever of them are open: multiples of the golden ratio.
+double close_position(std::uint64_t connection_id) {
+  constexpr double kGoldenRatio = 1.6180339887498949;
+  const double multiple = static_cast<double>(connection_id) * kGoldenRatio;
+  return multiple - std::floor(multiple);
+}
+
 bool is_out_of_descriptors(const error_code& error) {
   return error == asio::error::no_descriptors || error.value() == ENFILE;
 }
@@ -345,9 +353,11 @@
   for (const auto& [id, connection] : connections_) connection->close_after_next_reply();
 }
 
-void ClientServer::close_idle() {
+void ClientServer::close_idle(double fraction) {
   const auto connections = connections_;  // a copy, as the calls may close some
-  for (const auto& [id, connection] : connections) connection->start_draining(clock_.now());
+  for (const auto& [id, connection] : connections) {
+    if (close_position(id) <= fraction) connection->start_draining(clock_.now());
+  }
 }
 
 void ClientServer::finish() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -78,8 +78,9 @@
 
   // While draining, connections close after their next reply, new ones too.
   void set_draining(bool on);
-  // Closes connections without an unanswered request; the others close after their replies.
-  void close_idle();
+  // Closes connections without an unanswered request; the others close after their replies. With a `fraction`
+  // below 1 only for that part of them; a call with a larger one includes the part of the call before.
+  void close_idle(double fraction = 1);
   // Closes connections once every command that has arrived whole on them is answered.
   void finish();
   // Whether a reply has begun on some connection but has not reached its client's system whole.
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -226,7 +226,6 @@
   clients_.set_limits(client_limits(config));
   hosts_.pool().set_limits(host_pool_limits(config));
   engine_.set_limits(engine_limits(config));
-  shutdown_.on_limits_changed();
 }
 
 void Gateway::log_ignored_changes(const Config& fresh) const {
--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-// After a hand-over idle connections may rest until this long before the shutdown's deadline, so that
-// requests that arrive on them last can still be answered.
-constexpr Ms kLastRequestTime = 850;
+constexpr Ms kGracePeriodMs = std::chrono::duration<Ms, std::milli>(kDrainGracePeriod).count();
+// After a hand-over idle connections stay open at least this long after SIGTERM.
+constexpr Ms kMinIdleTime = 100;
 constexpr Ms kLastReplyTime = 150;  // for clients to read their last replies
 // Beyond the shutdown's deadline, for values that are being passed on and for replies that clients read
 // slowly. The platform may end the process sooner.
@@ -36,29 +36,33 @@
   if (processor_) processor_->listener().announce_drain();
   handed_over_ = handed_over;
   began_at_ = clock_.now();
-  await_grace_end();
+  poll();
 }
 
-void ShutdownSequence::await_grace_end() {
-  in_grace_period_ = true;
-  timer_.expires_at(clock_.at(grace_end()));
+void ShutdownSequence::poll() {
+  const Ms now = clock_.now();
+  if (in_grace_period_) advance_grace_period(now);
+  if (now >= *engine_.shutdown_deadline() && !in_grace_period_) finish_clients(now);
+  if (!in_grace_period_ && is_complete(now)) return end(now);
+  timer_.expires_after(kPollInterval);
   timer_.async_wait([this](error_code cancelled) {
-    if (cancelled) return;
-    in_grace_period_ = false;
-    close_clients();
-    await_completion();
+    if (!cancelled) poll();
   });
 }
 
-void ShutdownSequence::on_limits_changed() {
-  if (in_grace_period_) await_grace_end();
-}
-
-// When idle connections are closed.
-Ms ShutdownSequence::grace_end() const {
-  const Ms regular = began_at_ + std::chrono::duration<Ms, std::milli>(kDrainGracePeriod).count();
-  if (!handed_over_) return regular;
-  return std::max(regular, *engine_.shutdown_deadline() - kLastRequestTime);
+// After a hand-over nobody needs this process to connect to, and each request that an idle connection still
+// brings competes with the end of the process. So idle connections end within the grace period, while SIGKILL
+// is excused for what it finds. They end one after another: if they all ended at once, clients that are slow
+// to notice would send on some that are closed.
+void ShutdownSequence::advance_grace_period(Ms now) {
+  const Ms elapsed = now - began_at_;
+  if (elapsed >= kGracePeriodMs) {
+    in_grace_period_ = false;
+    return close_clients();
+  }
+  if (handed_over_ && elapsed > kMinIdleTime) {
+    clients_.close_idle((elapsed - kMinIdleTime) / (kGracePeriodMs - kMinIdleTime));
+  }
 }
 
 void ShutdownSequence::close_clients() {
@@ -102,22 +106,16 @@
   }
 }
 
-void ShutdownSequence::await_completion() {
-  const Ms now = clock_.now();
-  const Ms deadline = *engine_.shutdown_deadline();
-  if (now >= deadline) finish_clients(now);
+bool ShutdownSequence::is_complete(Ms now) const {
   const std::size_t proxies = processor_ ? processor_->listener().connection_count() : 0;
-  if (clients_.connection_count() + proxies == 0 || is_time_up(now)) {
-    if (engine_.unanswered_count() > 0) engine_.fail_all(now);
-    log_remaining_connections();
-    if (processor_)
-      log_line("external processor totals", extproc::to_text(processor_->processor().metrics()));
-    return on_finished_();
-  }
-  timer_.expires_after(kPollInterval);
-  timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled) await_completion();
-  });
+  return clients_.connection_count() + proxies == 0 || is_time_up(now);
+}
+
+void ShutdownSequence::end(Ms now) {
+  if (engine_.unanswered_count() > 0) engine_.fail_all(now);
+  log_remaining_connections();
+  if (processor_) log_line("external processor totals", extproc::to_text(processor_->processor().metrics()));
+  on_finished_();
 }
 
 }  // namespace cometfold::net
--- a/src/net/shutdown_sequence.h
+++ b/src/net/shutdown_sequence.h
@@ -29,17 +29,16 @@
   void start(bool handed_over, ProcessorServer* processor);
   // A successor has got the listening socket after `start`.
   void on_handed_over() { handed_over_ = true; }
-  // The engine's shutdown deadline may have come forward.
-  void on_limits_changed();
 
  private:
-  void await_grace_end();
-  Ms grace_end() const;
+  void poll();
+  void advance_grace_period(Ms now);
   void close_clients();
   void finish_clients(Ms now);
   bool is_time_up(Ms now) const;
   void log_remaining_connections() const;
-  void await_completion();
+  bool is_complete(Ms now) const;
+  void end(Ms now);
 
   Clock& clock_;
   engine::Engine& engine_;
@@ -49,7 +48,7 @@
   boost::asio::steady_timer timer_;
   Ms began_at_ = 0;
   bool handed_over_ = false;
-  bool in_grace_period_ = false;          // idle connections are not closed yet
+  bool in_grace_period_ = true;           // not all idle connections have been closed yet
   std::optional<Ms> deadline_passed_at_;  // when the deadline was first found to have passed
   Ms undelivered_at_ = 0;                 // when replies were last on their way after that
 };
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -114,8 +114,8 @@
     client.send(command({"PING"}));
     EXPECT_EQ(client.reply(), "+PONG");
   }
-  second->log_until("taken over: 2 customers");
   setup.serve(connected, 3);  // an open connection gets one more reply and is closed then
+  second->log_until("taken over: 2 customers");
   EXPECT_TRUE(connected.wait_for_close());
   queued.clear();
   EXPECT_EQ(first->exit_code(), 0);
@@ -290,6 +290,56 @@
   EXPECT_LT(std::chrono::steady_clock::now() - terminated_at, std::chrono::milliseconds(1700));
 }
 
+// Guards against requests that the first process takes so late that its end cuts their long values off:
+// clients may go on using idle connections, and SIGKILL is excused only for what was sent up to 0.7 s after
+// SIGTERM.
+TEST(Upgrade, TheFirstTakesNoRequestOfAnIdleConnectionThatSigkillMayFindUnanswered) {
+  UpgradeSetup setup;
+  auto first = setup.start();
+  std::vector<Peer> idle;
+  for (int i = 0; i < 20; ++i) {
+    idle.push_back(first->client());
+    idle.back().send(command({"PING"}));
+    EXPECT_EQ(idle.back().reply(), "+PONG");
+  }
+  auto second = setup.start();
+  first->log_until("a successor process has connected");
+  first->terminate();
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  unsigned n = 0;
+  for (auto& client : idle) client.send(query(++n));
+  EXPECT_FALSE(setup.host.waiting(200)) << "the first process has taken a request";
+  idle.clear();
+  EXPECT_EQ(first->exit_code(), 0);
+}
+
+// Guards against a request that is turned back although it had arrived before its idle connection ended.
+TEST(Upgrade, RequestsThatArriveOnIdleConnectionsBeforeTheirEndAreServed) {
+  UpgradeSetup setup;
+  auto first = setup.start();
+  std::vector<Peer> idle;
+  for (int i = 0; i < 20; ++i) {
+    idle.push_back(first->client());
+    idle.back().send(command({"PING"}));
+    EXPECT_EQ(idle.back().reply(), "+PONG");
+  }
+  auto second = setup.start();
+  first->log_until("a successor process has connected");
+  first->terminate();
+  first->log_until("shutdown begins");
+  {
+    const Stopped stopped(*first);  // their end is due when it goes on, and they have unread commands
+    for (auto& client : idle) client.send(command({"PING"}));
+    stopped.outlast(std::chrono::milliseconds(600));
+  }
+  for (auto& client : idle) {
+    EXPECT_EQ(client.reply(), "+PONG");
+    EXPECT_TRUE(client.closes_in_order());
+  }
+  idle.clear();
+  EXPECT_EQ(first->exit_code(), 0);
+}
+
 // Guards against connections that wait in the accept queue, which nobody serves, until the first process
 // ends.
 TEST(Upgrade, ASecondThatStartsWhileTheFirstStopsServesAtOnce) {
