A value that starts in a shutdown is begun only if it is expected to come whole

What callers saw: on connections that were still in use (commands written ahead, the rest of a command, a new connection) a request that came later than 0.7 s after SIGTERM got the head of a long value and part of it, and was cut off by the end of the process.

Cause: nothing compared what a value takes with the time that the process has left. The value's length is known at its head, its pace after some pieces.

Change: the engine tells the front end a bound with each value that starts in a shutdown; the connection holds the value (as design 0012 does for replies behind one) until it is whole or its pace says that it will be, for late requests with half as much time to spare. What is not expected to come whole after 1.5 s gets -ERR stopping, so the client has a whole answer. A late value whose host has paused at the deadline ends there: that is its host's failure, while SIGKILL would lose it. Bytes that come in the first 0.1 s may have waited in buffers and do not count as pace. A held value of a late request waits for memory.

--- a/src/engine/downstream_handler.h
+++ b/src/engine/downstream_handler.h
@@ -2,12 +2,20 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 #include "engine/request.h"
 
 namespace cometfold::engine {
 
+// By when a value should have come whole, as the process ends.
+struct CompletionBound {
+  Ms deadline = 0;
+  // The end of the process may cut the reply off, as its request came early enough in the shutdown.
+  bool is_cut_excused = false;
+};
+
 // For each accepted request whose client is still connected the engine makes exactly one of the calls
 // `on_served`, `on_rejected` and `on_failed`, or streams a value, possibly before `Engine::accept` returns.
 // Implementations must not call the engine from inside these calls.
@@ -25,7 +33,9 @@
   // called in between, the value stays incomplete, and the client must be able to detect that.
   // `on_value_chunk` returns false if the chunk is accepted but no more may follow until
   // `Engine::on_client_writable`.
-  virtual void on_value_started(Ms, ResponseHandle, std::size_t) {}
+  // With a bound the value should be passed on only if it is expected to keep that; otherwise see
+  // `Engine::fail_late_value`.
+  virtual void on_value_started(Ms, ResponseHandle, std::size_t, const std::optional<CompletionBound>&) {}
   virtual bool on_value_chunk(Ms, ResponseHandle, std::string_view) { return true; }
   virtual void on_value_finished(Ms, ResponseHandle) {}
   // Drops what has come of the value if the client has received nothing of it, and returns whether that was
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -81,6 +81,7 @@
   pending.response = response;
   pending.payload = std::move(incoming.payload);
   pending.expires_at = expires_at;
+  pending.is_late_in_shutdown = shutdown_deadline_ && now >= shutdown_began_at_ + limits_.shutdown_excused_ms;
   pending.identity = incoming.identity;
   pending.class_index = incoming.request.class_index;
   pending.class_settings = gate_.class_settings(pending.class_index);
@@ -181,7 +182,9 @@
 void Engine::on_value_started(Ms now, AttemptId attempt, std::size_t size) {
   now_ = now;
   const auto ref = requests_.find_attempt(attempt);
-  if (!ref || !replies_.start_value(now, ref->request, ref->index, size)) return;
+  if (!ref) return;
+  const auto bound = completion_bound(*requests_.find(ref->request));
+  if (!replies_.start_value(now, ref->request, ref->index, size, bound)) return;
   policy_.call(ref->request, [&](AdmissionPolicy& policy) {
     policy.on_stream_started(now, ref->request, ref->index, *this);
   });
@@ -324,6 +327,25 @@
   return replies_.is_streaming(id) && !replies_.withdraw_value(now, id);
 }
 
+bool Engine::may_go_on(Ms now, RequestId id) {
+  if (!is_passed_on(now, id)) return false;
+  const PendingRequest* const request = requests_.find(id);
+  return !request->is_late_in_shutdown || !request->value->paused();
+}
+
+std::optional<CompletionBound> Engine::completion_bound(const PendingRequest& request) const {
+  if (!shutdown_deadline_) return {};
+  return CompletionBound{*shutdown_deadline_, !request.is_late_in_shutdown};
+}
+
+void Engine::fail_late_value(Ms now, RequestId request_id) {
+  now_ = now;
+  const PendingRequest* const request = requests_.find(request_id);
+  if (!request || request->answered || is_passed_on(now, request_id)) return;
+  fail_at_shutdown(now, request_id);
+  process_pending();
+}
+
 void Engine::fail_at_shutdown(Ms now, RequestId id) {
   replies_.fail(now, id, FailureReason::kShuttingDown);
   policy_.call(PolicyCaller::kNoRequest,
@@ -334,7 +356,7 @@
   now_ = now;
   if (mutant(Mutant::kShutdownWithoutReplies)) return;
   for (const auto id : requests_.unanswered_ids()) {
-    if (!is_passed_on(now, id)) fail_at_shutdown(now, id);
+    if (!may_go_on(now, id)) fail_at_shutdown(now, id);
   }
   process_pending();
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -92,9 +92,12 @@
   // `EngineLimits::shutdown_timeout_ms`.
   void begin_shutdown(Ms now);
   std::optional<Ms> shutdown_deadline() const { return shutdown_deadline_; }
-  // Fails all unanswered requests but those whose client has received part of a value: that goes on, and
-  // failing it would cut it off. Unlike a rejection, a failure does not imply that a retry is safe, so it is
-  // correct for every class, whatever has been executed.
+  // Fails a request whose value would not come whole before the end of the process. Does nothing if its
+  // client has received part.
+  void fail_late_value(Ms now, RequestId request_id);
+  // Fails all unanswered requests but those whose client has received part of a value: that goes on, unless
+  // the request came late in the shutdown and the value's host has paused. Unlike a rejection, a failure does
+  // not imply that a retry is safe, so it is correct for every class, whatever has been executed.
   void fail_unbegun(Ms now);
   // Fails all unanswered requests, and cuts off values that are being passed on.
   void fail_all(Ms now);
@@ -156,7 +159,9 @@
   void expire(RequestId id);
   void end_value(Ms now, RequestTable::AttemptRef ref, Outcome outcome, std::string_view value);
   void fail_interrupted_value(RequestId id);
+  std::optional<CompletionBound> completion_bound(const PendingRequest& request) const;
   bool is_passed_on(Ms now, RequestId id);
+  bool may_go_on(Ms now, RequestId id);
   void fail_at_shutdown(Ms now, RequestId id);
 
   EngineLogger logger_;
--- a/src/engine/limits.h
+++ b/src/engine/limits.h
@@ -12,6 +12,9 @@
   std::size_t max_payload_bytes = std::size_t{24} << 20;  // of all payloads held
   Ms deadline_margin_ms = 20;     // subtracted from a client's timeout for network latency
   Ms shutdown_timeout_ms = 3450;  // from `begin_shutdown` until every request must have its reply
+  // Requests that are accepted later than this after `begin_shutdown` are lost if the end of the process cuts
+  // their replies off; for earlier ones that is excused.
+  Ms shutdown_excused_ms = 600;
 };
 
 }  // namespace cometfold::engine
--- a/src/engine/reply_dispatcher.cpp
+++ b/src/engine/reply_dispatcher.cpp
@@ -90,7 +90,8 @@
   return request && request->value;
 }
 
-bool ReplyDispatcher::start_value(Ms now, RequestId id, std::uint32_t attempt, std::size_t size) {
+bool ReplyDispatcher::start_value(Ms now, RequestId id, std::uint32_t attempt, std::size_t size,
+                                  const std::optional<CompletionBound>& bound) {
   PendingRequest* const request = requests_.find(id);
   if (!request || request->answered) return false;
   if (request->value) {
@@ -102,7 +103,7 @@
     ++metrics_.values.replaced;
   }
   request->value.emplace(attempt, size);
-  request->handler->on_value_started(now, request->response, size);
+  request->handler->on_value_started(now, request->response, size, bound);
   return true;
 }
 
--- a/src/engine/reply_dispatcher.h
+++ b/src/engine/reply_dispatcher.h
@@ -32,7 +32,8 @@
   bool is_streaming(RequestId id) const;
   // Returns whether the value of this attempt is passed on from now on. If another one's is and its host has
   // paused, this one takes its place if the client has received nothing, and is else compared with it.
-  bool start_value(Ms now, RequestId id, std::uint32_t attempt, std::size_t size);
+  bool start_value(Ms now, RequestId id, std::uint32_t attempt, std::size_t size,
+                   const std::optional<CompletionBound>& bound);
   struct ChunkResult {
     bool wants_more = true;  // otherwise no more may follow until the client can take more
     bool took_over = false;  // the value of this attempt is passed on from now on
--- a/src/engine/request_table.h
+++ b/src/engine/request_table.h
@@ -45,7 +45,8 @@
   bool answered = false;                        // has its final reply, or its client has disconnected
   std::optional<StreamedValue> value;           // the reply, if it is being streamed
   std::vector<Attempt> attempts;
-  bool keeps_identity = false;  // after it was answered, until it is erased
+  bool is_late_in_shutdown = false;  // see `EngineLimits::shutdown_excused_ms`
+  bool keeps_identity = false;       // after it was answered, until it is erased
   std::size_t in_flight_count = 0;
   std::size_t unreported_end_count = 0;  // ended attempts that the policy has not been notified of
 
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -91,7 +91,8 @@
   void send_reply(Ms now, resp::ResponseHandle response, std::string_view reply) override;
   void send_error(Ms now, resp::ResponseHandle response, std::string_view error) override;
   // The simulated hosts send short values only, which are not streamed.
-  void start_value(Ms, resp::ResponseHandle, std::size_t) override {
+  void start_value(Ms, resp::ResponseHandle, std::size_t,
+                   const std::optional<engine::CompletionBound>&) override {
     report_violation("the explorer", "a value was streamed to the client");
   }
   bool append_value(Ms, resp::ResponseHandle, std::string_view) override { return true; }
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -199,8 +199,9 @@
   if (auto* connection = find(handle)) connection->send_error(now, handle.sequence, reason);
 }
 
-void ClientServer::start_value(Ms now, ResponseHandle handle, std::size_t size) {
-  if (auto* connection = find(handle)) connection->start_value(now, handle.sequence, size);
+void ClientServer::start_value(Ms now, ResponseHandle handle, std::size_t size,
+                               const std::optional<engine::CompletionBound>& bound) {
+  if (auto* connection = find(handle)) connection->start_value(now, handle.sequence, size, bound);
 }
 
 bool ClientServer::append_value(Ms now, ResponseHandle handle, std::string_view bytes) {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -25,6 +25,7 @@
                                          const resp::CommandArrival& arrival) = 0;
   virtual void on_client_disconnected(std::uint64_t request_id) = 0;
   virtual void on_client_writable(std::uint64_t request_id) = 0;
+  virtual void on_value_too_late(std::uint64_t request_id) = 0;
   // See resp::ClientConnectionCallbacks.
   virtual void on_reply_pending(std::uint64_t identity) = 0;
   virtual void on_reply_flushed(std::uint64_t identity) = 0;
@@ -60,7 +61,8 @@
 
   void send_reply(Ms now, ResponseHandle handle, std::string_view reply) override;
   void send_error(Ms now, ResponseHandle handle, std::string_view reason) override;
-  void start_value(Ms now, ResponseHandle handle, std::size_t size) override;
+  void start_value(Ms now, ResponseHandle handle, std::size_t size,
+                   const std::optional<engine::CompletionBound>& bound) override;
   bool append_value(Ms now, ResponseHandle handle, std::string_view bytes) override;
   void finish_value(Ms now, ResponseHandle handle) override;
   bool withdraw_value(Ms now, ResponseHandle handle) override;
@@ -100,6 +102,7 @@
   void on_client_writable(Ms, std::uint64_t request_id) override {
     callbacks_.on_client_writable(request_id);
   }
+  void on_value_too_late(Ms, std::uint64_t request_id) override { callbacks_.on_value_too_late(request_id); }
   void on_closed(std::uint64_t id) override { connections_.erase(id); }
   void on_reads_paused() override;
 
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -69,6 +69,9 @@
   void on_client_writable(std::uint64_t request_id) override {
     engine_.on_client_writable(clock_.now(), request_id);
   }
+  void on_value_too_late(std::uint64_t request_id) override {
+    engine_.fail_late_value(clock_.now(), request_id);
+  }
 
   // HostPoolCallbacks
   void on_attempt_end(Ms now, AttemptId attempt, Outcome outcome, std::string_view value,
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -19,6 +19,7 @@
 #include "resp/command_input.h"
 #include "resp/reply_queue.h"
 #include "resp/stream.h"
+#include "resp/value_pace.h"
 
 namespace cometfold::resp {
 
@@ -40,6 +41,9 @@
   virtual void on_client_disconnected(Ms now, std::uint64_t request_id) = 0;
   // More of the streamed value of this request may be appended.
   virtual void on_client_writable(Ms, std::uint64_t /*request_id*/) {}
+  // The streamed value of this request has not been begun, and its rest would not come before the end of the
+  // process. An error may still take its place.
+  virtual void on_value_too_late(Ms, std::uint64_t /*request_id*/) {}
   virtual void on_closed(std::uint64_t connection_id) = 0;
   // Reads are paused, so a disconnect would go unnoticed: `ClientConnection::check_disconnected` must be
   // called within about 20 ms.
@@ -67,7 +71,8 @@
   // nothing of it comes.
   // `send_reply` before `finish_value` aborts the value: if part of it is in the output already, the
   // connection is closed once that is written, so that the client notices; replies behind it are lost.
-  void start_value(Ms now, std::uint64_t sequence, std::size_t size);
+  void start_value(Ms now, std::uint64_t sequence, std::size_t size,
+                   const std::optional<engine::CompletionBound>& bound = {});
   bool append_value(Ms now, std::uint64_t sequence, std::string_view bytes);
   void finish_value(Ms now, std::uint64_t sequence);
   // Drops the value, if nothing of it is in the output, and returns whether that was so. Another value or a
@@ -152,6 +157,8 @@
   // client_connection_values.cpp: streamed values
   void start_first_value(Ms now);
   bool must_hold_value(Ms now);
+  bool must_await_completion(Ms now, const engine::CompletionBound& bound) const;
+  bool is_value_too_late(Ms now);
   void begin_value_if_due(Ms now);
   std::size_t max_value_bytes_ahead() const;
   std::size_t value_bytes_ahead(const ReplySlot& slot, bool is_first) const;
@@ -176,7 +183,9 @@
   Ms last_progress_ = 0;
   std::uint64_t last_used_ = 0;
   Ms value_held_until_ = 0;               // if the first reply is a streamed value that is not begun
+  Ms value_given_up_at_ = 0;              // if that value is then not expected to keep its completion bound
   Ms value_arrived_at_ = 0;               // the last bytes of that value
+  ValuePace value_pace_;                  // of that value
   std::size_t consecutive_errors_ = 0;    // of commands that were not valid requests
   std::size_t unacknowledged_bytes_ = 0;  // when they were last looked at
 
--- a/src/resp/client_connection_closing.cpp
+++ b/src/resp/client_connection_closing.cpp
@@ -76,6 +76,7 @@
     return;
   }
   begin_value_if_due(now);
+  if (is_value_too_late(now)) callbacks_.on_value_too_late(now, replies_.first().command.request_id);
   const bool client_must_read = !replies_.output_empty() || (awaits_acknowledgement_ && replies_.empty());
   if (client_must_read && close_if_allowed(now, {CloseReason::kStalled})) return;
   if (!is_reply_pending()) {
--- a/src/resp/client_connection_values.cpp
+++ b/src/resp/client_connection_values.cpp
@@ -1,6 +1,7 @@
 // Streamed values of a client connection: when a value is begun, and what happens if it can't be finished.
 // docs/design/0012-values-with-replies-behind.md gives the reasons.
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -22,13 +23,18 @@
 constexpr Ms kLateReplyMs = 500;
 // A held value is begun this long before it would be lost, as the end of the hold is noticed in sweeps.
 constexpr Ms kLateReplyMarginMs = 250;
+// Hosts may become slower by this factor in the middle of a value that must come whole.
+constexpr double kToleratedSlowdown = 1.5;
 
 }  // namespace
 
-void ClientConnection::start_value(Ms now, std::uint64_t sequence, std::size_t size) {
+void ClientConnection::start_value(Ms now, std::uint64_t sequence, std::size_t size,
+                                   const std::optional<engine::CompletionBound>& bound) {
   ReplySlot* slot = find_incomplete(sequence);
   if (!slot) return;
   slot->streamed = true;
+  slot->value_size = size;
+  slot->completion_bound = bound;
   replies_.buffer(*slot, "$" + std::to_string(size) + "\r\n");
   if (replies_.is_first(sequence)) start_first_value(now);
 }
@@ -38,10 +44,13 @@
 void ClientConnection::start_first_value(Ms now) {
   const bool commands_wait = (paused_ || dispatching_) && !input_.empty();
   const bool others_wait = replies_.size() > 1 || commands_wait;
+  const ReplySlot& first = replies_.first();
   // The time for which a reply waits for those before it does not count.
-  const Ms due = std::max(replies_.first().command.expires_at, now) + kLateReplyMs;
+  const Ms due = std::max(first.command.expires_at, now) + kLateReplyMs;
   value_arrived_at_ = now;
-  value_held_until_ = others_wait ? std::min(now + kMaxValueHoldMs, due - kLateReplyMarginMs) : now;
+  value_pace_.start(now, first.value_size, first.bytes.size());
+  value_given_up_at_ = std::min(now + kMaxValueHoldMs, due - kLateReplyMarginMs);
+  value_held_until_ = others_wait ? value_given_up_at_ : now;
   paused_ = true;
   input_.set_more_available();
   read();
@@ -51,6 +60,8 @@
 // If the value breaks once it is begun, the replies behind it are lost with the connection. So a value whose
 // host has paused is not begun before its next bytes come, however long it has been held.
 bool ClientConnection::must_hold_value(Ms now) {
+  const ReplySlot& first = replies_.first();
+  if (first.completion_bound && must_await_completion(now, *first.completion_bound)) return true;
   if (!totals_.memory.may_hold_values()) return false;
   const bool is_late = now >= replies_.first().command.expires_at;
   const Ms pause = is_late ? kLateHostPauseMs : kHostPauseMs;
@@ -62,6 +73,22 @@
   if (replies_.output_empty()) touch(now);
   replies_.begin_value();
   if (!dispatching_) write(now);
+  if (replies_.first().awaits_capacity && !std::exchange(capacity_notice_posted_, true)) stream_->post();
+}
+
+// The end of the process cuts a value off that has been begun and whose rest does not come before it. Until
+// then an error can take its place.
+bool ClientConnection::must_await_completion(Ms now, const engine::CompletionBound& bound) const {
+  if (bound.is_cut_excused) {
+    return totals_.memory.may_hold_values() && !value_pace_.completes_by(now, bound.deadline, 1);
+  }
+  return !value_pace_.completes_by(now, bound.deadline, kToleratedSlowdown);
+}
+
+bool ClientConnection::is_value_too_late(Ms now) {
+  if (!replies_.streams_value() || replies_.first().begun) return false;
+  const auto& bound = replies_.first().completion_bound;
+  return bound && now >= value_given_up_at_ && must_await_completion(now, *bound);
 }
 
 bool ClientConnection::append_value(Ms now, std::uint64_t sequence, std::string_view bytes) {
@@ -74,6 +101,7 @@
     replies_.buffer(*slot, bytes);
     if (replies_.is_first(sequence)) {
       value_arrived_at_ = now;
+      value_pace_.add(now, bytes.size());
       begin_value_if_due(now);
     }
   }
@@ -85,10 +113,12 @@
   return totals_.memory.is_scarce() ? kMaxScarceValueAheadBytes : kMaxValueAheadBytes;
 }
 
-// A held value is bounded by `must_hold_value` instead, as only its end lets it go on.
+// A held value is bounded by `must_hold_value` instead, as only its end lets it go on, unless it must not
+// begin before it is sure to come whole.
 std::size_t ClientConnection::value_bytes_ahead(const ReplySlot& slot, bool is_first) const {
   if (slot.begun) return replies_.unwritten_size();
-  return is_first ? 0 : slot.bytes.size();
+  const bool is_bounded = !is_first || (slot.completion_bound && !totals_.memory.may_hold_values());
+  return is_bounded ? slot.bytes.size() : 0;
 }
 
 void ClientConnection::finish_value(Ms now, std::uint64_t sequence) {
--- a/src/resp/reply_queue.h
+++ b/src/resp/reply_queue.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "cometfold/admission_controller.h"
 #include "engine/digest.h"
+#include "engine/downstream_handler.h"
 #include "resp/memory_budget.h"
 
 namespace cometfold::resp {
@@ -28,11 +30,13 @@
 struct ReplySlot {
   CommandResult command;
   bool complete = false;
-  bool streamed = false;          // a streamed value has started
-  bool begun = false;             // part of that value is in the output
-  bool awaits_capacity = false;   // the sender of that value waits for `on_client_writable`
-  std::size_t counted_bytes = 0;  // part of `bytes` that the memory budget includes
-  std::string bytes;              // buffered while earlier replies are incomplete
+  bool streamed = false;         // a streamed value has started
+  bool begun = false;            // part of that value is in the output
+  bool awaits_capacity = false;  // the sender of that value waits for `on_client_writable`
+  std::size_t value_size = 0;    // of a streamed value, in bytes
+  std::optional<engine::CompletionBound> completion_bound;  // of a streamed value
+  std::size_t counted_bytes = 0;                            // part of `bytes` that the memory budget includes
+  std::string bytes;                                        // buffered while earlier replies are incomplete
 };
 
 // Commands are numbered from 0. The first reply goes to the output once it is complete, or directly once it
--- a/src/resp/resp_handler.h
+++ b/src/resp/resp_handler.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_set>
@@ -25,7 +26,8 @@
   // `reply` is one complete RESP value. Does nothing if the client has disconnected. Must not call back.
   virtual void send_reply(Ms now, ResponseHandle handle, std::string_view reply) = 0;
   virtual void send_error(Ms now, ResponseHandle handle, std::string_view message) = 0;
-  virtual void start_value(Ms now, ResponseHandle handle, std::size_t size) = 0;
+  virtual void start_value(Ms now, ResponseHandle handle, std::size_t size,
+                           const std::optional<engine::CompletionBound>& bound) = 0;
   virtual bool append_value(Ms now, ResponseHandle handle, std::string_view bytes) = 0;
   virtual void finish_value(Ms now, ResponseHandle handle) = 0;
   virtual bool withdraw_value(Ms, ResponseHandle) { return false; }
@@ -60,8 +62,9 @@
   void on_served(Ms now, ResponseHandle handle, std::string_view value) override;
   void on_rejected(Ms now, ResponseHandle handle, Ms retry_after) override;
   void on_failed(Ms now, ResponseHandle handle, engine::FailureReason reason) override;
-  void on_value_started(Ms now, ResponseHandle handle, std::size_t size) override {
-    replies_.start_value(now, handle, size);
+  void on_value_started(Ms now, ResponseHandle handle, std::size_t size,
+                        const std::optional<engine::CompletionBound>& bound) override {
+    replies_.start_value(now, handle, size, bound);
   }
   bool on_value_chunk(Ms now, ResponseHandle handle, std::string_view bytes) override {
     return replies_.append_value(now, handle, bytes);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -101,11 +101,14 @@
   FakeTransport transport;
   RecordingHandler handler;
   std::vector<std::string> log_lines;
-  Engine engine{
-      policy,
-      transport,
-      {.max_open_requests = 3, .max_payload_bytes = 25, .deadline_margin_ms = 0, .shutdown_timeout_ms = 500},
-      [this](std::string_view what, std::string_view) { log_lines.emplace_back(what); }};
+  Engine engine{policy,
+                transport,
+                {.max_open_requests = 3,
+                 .max_payload_bytes = 25,
+                 .deadline_margin_ms = 0,
+                 .shutdown_timeout_ms = 500,
+                 .shutdown_excused_ms = 100},
+                [this](std::string_view what, std::string_view) { log_lines.emplace_back(what); }};
   RequestId request_id = 0;  // of the latest request
 
   AcceptResult accept(Ms now, std::uint64_t identity = 1, Ms timeout = 100) {
@@ -126,8 +129,11 @@
 struct StreamingHandler : RecordingHandler {
   std::string received;
   bool holds = false;  // the client receives nothing before the end
-  void on_value_started(Ms, ResponseHandle, std::size_t size) override {
+  std::optional<CompletionBound> bound;
+  void on_value_started(Ms, ResponseHandle, std::size_t size,
+                        const std::optional<CompletionBound>& completion_bound) override {
     received = std::to_string(size) + ":";
+    bound = completion_bound;
   }
   bool on_value_chunk(Ms, ResponseHandle, std::string_view bytes) override {
     received += bytes;
@@ -429,6 +435,78 @@
   }
 }
 
+// A request of which attempt 1 has streamed "abcd" of "abcdefgh" in a shutdown that began at 10 and ends at
+// 510.
+struct ValueInShutdown : Fixture {
+  StreamingHandler client;
+  explicit ValueInShutdown(Ms accepted_at, bool holds = false) {
+    client.holds = holds;
+    policy.request_action = send_to(5);
+    if (accepted_at >= 10) engine.begin_shutdown(10);
+    IncomingRequest incoming;
+    incoming.timeout_ms = 10'000;
+    incoming.identity = 1;
+    incoming.payload = std::make_unique<TenBytePayload>();
+    engine.accept(accepted_at, client, {1, 1}, std::move(incoming), request_id);
+    if (accepted_at < 10) engine.begin_shutdown(10);
+    engine.on_value_started(accepted_at + 10, 1, 8);
+    engine.on_value_chunk(accepted_at + 10, 1, "abcd");
+  }
+};
+
+// Guards against values that the end of a shutdown cuts off while their hosts give them.
+TEST(Engine, AtItsDeadlineAShutdownCutsNoValueThatIsPassedOn) {
+  for (const Ms accepted_at : {0.0, 50.0, 300.0}) {
+    ValueInShutdown f(accepted_at);
+    f.engine.fail_unbegun(510);
+    EXPECT_TRUE(f.client.replies.empty());
+    f.engine.on_value_chunk(600, 1, "efgh");
+    f.end_attempt(600, 1, Outcome::kOk);
+    EXPECT_EQ(f.client.replies, Fixture::Replies{"8:abcdefgh"});
+    EXPECT_EQ(f.engine.open_count(), 0u);
+  }
+}
+
+TEST(Engine, AtItsDeadlineAShutdownFailsAValueOfWhichItsClientHasNothing) {
+  for (const Ms accepted_at : {0.0, 50.0, 300.0}) {
+    ValueInShutdown f(accepted_at, true);
+    f.engine.fail_unbegun(510);
+    EXPECT_EQ(f.client.replies, Fixture::Replies{"failed 2"});
+    EXPECT_EQ(f.engine.unanswered_count(), 0u);
+  }
+}
+
+// What SIGKILL finds of a late request is lost; what ends because its host hangs has failed.
+TEST(Engine, AtItsDeadlineAShutdownEndsAPausedValueOfALateRequestOnly) {
+  for (const Ms accepted_at : {0.0, 50.0, 300.0}) {
+    ValueInShutdown f(accepted_at);
+    f.engine.on_value_paused(500, 1);
+    f.engine.fail_unbegun(510);
+    EXPECT_EQ(f.client.replies.size(), accepted_at == 300 ? 1u : 0u) << accepted_at;
+  }
+}
+
+TEST(Engine, AValueThatStartsInAShutdownIsBoundByItsDeadline) {
+  const ValueInShutdown before(0), early(50), late(300);
+  for (const auto* f : {&before, &early, &late}) {
+    ASSERT_TRUE(f->client.bound);
+    EXPECT_EQ(f->client.bound->deadline, 510);
+    EXPECT_EQ(f->client.bound->is_cut_excused, f != &late);
+  }
+}
+
+TEST(Engine, AValueThatWouldComeTooLateFailsUnlessItsClientHasPart) {
+  ValueInShutdown held(300, true);
+  held.engine.fail_late_value(320, held.request_id);
+  EXPECT_EQ(held.client.replies, Fixture::Replies{"failed 2"});
+  held.engine.fail_late_value(330, held.request_id);
+  EXPECT_EQ(held.client.replies.size(), 1u);
+
+  ValueInShutdown passed_on(300);
+  passed_on.engine.fail_late_value(320, passed_on.request_id);
+  EXPECT_TRUE(passed_on.client.replies.empty());
+}
+
 // A request of which attempt 1 has streamed "abcd" of "abcdefgh" when its host paused, and attempt 2 is out.
 struct PausedValue : Fixture {
   StreamingHandler client;
@@ -454,6 +532,11 @@
   }
 };
 
+TEST(Engine, AValueOutsideAShutdownHasNoBound) {
+  const PausedValue f;
+  EXPECT_FALSE(f.client.bound);
+}
+
 // Guards against values that mix two hosts' bytes, or that lose or repeat some where another host continues.
 TEST(Engine, ContinuesAPausedValueWithAnotherHostsEqualOne) {
   for (std::size_t step = 1; step <= 8; ++step) {
--- a/tests/shutdown_end_test.cpp
+++ b/tests/shutdown_end_test.cpp
@@ -13,9 +13,10 @@
 using namespace std::chrono_literals;
 
 constexpr double kLongestDeadlineMs = 200;
-constexpr auto kProcessEnd = 800ms;     // after SIGTERM, with that deadline
-constexpr std::size_t kHalfBytes = 40;  // of a command
-constexpr unsigned kCrowd = 200;        // more than the events that are taken from the system at once
+constexpr auto kProcessEnd = 800ms;      // after SIGTERM, with that deadline
+constexpr auto kLateInShutdown = 100ms;  // after the listener's end, for requests that SIGKILL must not cut
+constexpr std::size_t kHalfBytes = 40;   // of a command
+constexpr unsigned kCrowd = 200;         // more than the events that are taken from the system at once
 
 boost::json::object short_deadlines(const Listener& host, const Listener& discovery) {
   auto conf = config(list(7, true, {target("s-1", host.port())}), discovery.port());
@@ -149,6 +150,40 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+// Guards against a long value that the end of the process cuts off, as its request came late in the shutdown
+// on a connection that was still in use: it gets an error instead, and a value that comes in time is served.
+TEST(ShutdownEnd, ALateRequestGetsItsValueWholeOrAnError) {
+  for (const bool is_fast : {true, false}) {
+    Listener host, discovery;
+    Program program(config(list(7, true, {target("s-1", host.port())}), discovery.port()));
+    auto client = program.client();
+    client.send(query(1));
+    auto first = host.accept();
+    first.command();
+    program.terminate();
+    program.log_until("the listener for clients is closed");
+    std::this_thread::sleep_for(kLateInShutdown);
+    client.send(query(2));
+    auto second = host.accept();
+    second.command();
+    const std::string value(400'000, 'v');
+    const auto reply = served(value);
+    second.send(reply.substr(0, 100'000));
+    first.send(served("one"));
+    EXPECT_EQ(client.reply(), "one");
+    if (is_fast) second.send(reply.substr(100'000));
+    const auto received = client.reply();
+    if (is_fast) {
+      EXPECT_EQ(received, value);
+    } else {
+      EXPECT_EQ(received.substr(0, 4), "-ERR");
+    }
+    EXPECT_TRUE(client.closes_in_order());
+    client.close();
+    EXPECT_EQ(program.exit_code(), 0);
+  }
+}
+
 // Guards against a process that waits for a value whose client has gone, or whose host has hung, for ever.
 TEST(ShutdownEnd, AValueWhoseHostBreaksEndsWithTheProcess) {
   Listener host, discovery;
--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -1,5 +1,6 @@
 // Values above 64 KiB are streamed: forwarded in chunks as they arrive, at the speed of the slower side.
 #include <limits>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -110,7 +111,8 @@
   void on_client_disconnected(Ms, std::uint64_t request_id) override { disconnected.push_back(request_id); }
   void on_closed(std::uint64_t) override {}
   void on_client_writable(Ms, std::uint64_t request_id) override { writable.push_back(request_id); }
-  std::vector<std::uint64_t> disconnected, writable;
+  void on_value_too_late(Ms, std::uint64_t request_id) override { too_late.push_back(request_id); }
+  std::vector<std::uint64_t> disconnected, writable, too_late;
   Ms deadline = 0;  // of each request
 };
 
@@ -305,6 +307,101 @@
   EXPECT_EQ(hung.unsent_bytes(), 0u);
 }
 
+constexpr std::size_t kChunkBytes = 10'000;
+
+// One chunk of a value that is started at 0 comes every 50 ms, up to the time `until`.
+void append_chunks(SingleClientFixture& client, Ms from, Ms until) {
+  for (Ms now = from; now <= until; now += 50) {
+    client.connection->append_value(now, 0, random_bytes(kChunkBytes));
+    client.connection->close_if_timed_out(now);
+  }
+}
+
+// Guards against values that the end of the process cuts off, as they are begun too late in a shutdown: they
+// are begun once they come fast enough to be whole before it.
+TEST(StreamedValues, OneInAShutdownIsBegunOnceItsPaceSaysThatItComesWhole) {
+  for (const bool is_cut_excused : {false, true}) {
+    SingleClientFixture client(1);
+    client.stream->capacity = kMebibyte;
+    client.connection->start_value(0, 0, 10 * kChunkBytes, engine::CompletionBound{2'000, is_cut_excused});
+    append_chunks(client, 50, 250);
+    EXPECT_TRUE(client.stream->written.empty());
+    append_chunks(client, 300, 300);
+    EXPECT_EQ(client.stream->written.size(), 9 + 6 * kChunkBytes);
+  }
+}
+
+TEST(StreamedValues, OneInAShutdownThatWouldBeCutMakesRoomForAnError) {
+  for (const bool is_cut_excused : {false, true}) {
+    SingleClientFixture client(1);
+    client.stream->capacity = kMebibyte;
+    client.connection->start_value(0, 0, 100 * kChunkBytes, engine::CompletionBound{2'000, is_cut_excused});
+    append_chunks(client, 50, 1'450);
+    EXPECT_TRUE(client.callbacks.too_late.empty());
+    append_chunks(client, 1'500, 1'500);
+    EXPECT_EQ(client.callbacks.too_late, std::vector<std::uint64_t>{1});
+    EXPECT_TRUE(client.connection->withdraw_value(1'500, 0));
+    client.connection->send_reply(1'500, 0, "-ERR stopping\r\n");
+    EXPECT_EQ(client.stream->written, "-ERR stopping\r\n");
+  }
+}
+
+// A request that came late tolerates that its host becomes slower; an earlier one is excused.
+TEST(StreamedValues, OneOfALateRequestIsBegunOnlyWithTimeToSpare) {
+  for (const bool is_cut_excused : {false, true}) {
+    SingleClientFixture client(1);
+    client.stream->capacity = kMebibyte;
+    client.connection->start_value(0, 0, 10 * kChunkBytes, engine::CompletionBound{550, is_cut_excused});
+    append_chunks(client, 50, 300);  // the rest takes 200 ms
+    EXPECT_EQ(client.stream->written.empty(), !is_cut_excused);
+  }
+}
+
+// Guards against a host that hangs and is taken for a fast one, as much of its value had waited in buffers.
+TEST(StreamedValues, OneInAShutdownWhoseHostHangsIsNotBegun) {
+  SingleClientFixture client(1);
+  client.stream->capacity = kMebibyte;
+  client.connection->start_value(0, 0, 10 * kChunkBytes, engine::CompletionBound{60'000, true});
+  for (int i = 0; i < 9; ++i) client.connection->append_value(1, 0, random_bytes(kChunkBytes));
+  client.connection->close_if_timed_out(1'500);
+  EXPECT_TRUE(client.stream->written.empty());
+  EXPECT_EQ(client.callbacks.too_late, std::vector<std::uint64_t>{1});
+}
+
+TEST(StreamedValues, OneInAShutdownThatIsWholeIsWrittenAtOnce) {
+  SingleClientFixture client(1);
+  client.stream->capacity = kMebibyte;
+  client.connection->start_value(0, 0, kChunkBytes, engine::CompletionBound{1, false});
+  client.connection->append_value(0, 0, random_bytes(kChunkBytes));
+  client.connection->finish_value(0, 0);
+  EXPECT_EQ(client.stream->written, "$10000\r\n" + random_bytes(kChunkBytes) + "\r\n");
+}
+
+// Guards against memory that values take which wait for their pace.
+TEST(StreamedValues, OneOfALateRequestIsHeldWithinTheMemory) {
+  SingleClientFixture client(1);
+  client.totals.memory.set_limit(200'000);
+  client.connection->start_value(0, 0, 100 * kChunkBytes, engine::CompletionBound{2'000, false});
+  while (client.connection->append_value(0, 0, random_bytes(kChunkBytes))) {
+    ASSERT_LT(client.unsent_bytes(), 200'000u);
+  }
+  EXPECT_TRUE(client.stream->written.empty());
+}
+
+// Guards against a value that stops as its host is never asked for more once it has been begun.
+TEST(StreamedValues, OneThatWaitedForMemoryGoesOnOnceItIsBegun) {
+  SingleClientFixture client(1);
+  client.stream->capacity = kMebibyte;
+  client.totals.memory.set_limit(200'000);
+  client.connection->start_value(0, 0, 10 * kChunkBytes, engine::CompletionBound{60'000, false});
+  client.connection->append_value(0, 0, random_bytes(4 * kChunkBytes));
+  EXPECT_FALSE(client.connection->append_value(200, 0, random_bytes(kChunkBytes)));
+  client.connection->close_if_timed_out(300);
+  EXPECT_FALSE(client.stream->written.empty());
+  client.connection->on_posted(300);
+  EXPECT_EQ(client.callbacks.writable, std::vector<std::uint64_t>{1});
+}
+
 // Guards against replies that are cut because a later value breaks while their client reads them.
 TEST(StreamedValues, RepliesBeforeAnAbortedOneAreDeliveredBeforeTheClose) {
   SingleClientFixture client(2);
