External processor: calls whose responses still come outlive the deadline

What callers saw: 0.15 s after a shutdown's deadline the process ended and reset the calls of proxies whose hosts were still answering; a proxy that may not do without its processor then fails the response.

Cause: the process ended at a fixed time after its deadline, whatever was open.

Change: it ends once no call is open, a minute later at the latest, or by SIGKILL.

--- a/src/net/grpc_listener.cpp
+++ b/src/net/grpc_listener.cpp
@@ -1,5 +1,6 @@
 #include "net/grpc_listener.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <optional>
@@ -93,6 +94,7 @@
     calls_->session().drain();
     flush();
   }
+  bool has_open_calls() { return calls_ && calls_->session().stream_count() > 0; }
   void close() {
     if (closed_) return;
     closed_ = true;
@@ -266,6 +268,11 @@
   for (const auto& [id, connection] : connections) connection->drain();
 }
 
+bool GrpcListener::has_open_calls() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->has_open_calls(); });
+}
+
 void GrpcListener::close_all() {
   const auto connections = connections_;  // a copy, as the calls may close some
   for (const auto& [id, connection] : connections) connection->close();
--- a/src/net/grpc_listener.h
+++ b/src/net/grpc_listener.h
@@ -39,6 +39,8 @@
   void drain();
   void close_all();
   std::size_t connection_count() const { return connections_.size(); }
+  // Whether a call is open on some connection.
+  bool has_open_calls() const;
 
  private:
   class Connection;
--- a/src/net/shutdown_sequence.cpp
+++ b/src/net/shutdown_sequence.cpp
@@ -90,7 +90,8 @@
                                                        " client connections are closed");
   }
   clients_.finish();
-  if (clients_.awaits_delivery()) undelivered_at_ = now;
+  const bool has_open_calls = processor_ && processor_->listener().has_open_calls();
+  if (clients_.awaits_delivery() || has_open_calls) undelivered_at_ = now;
 }
 
 bool ShutdownSequence::is_time_up(Ms now) const {
--- a/tests/processor_program_test.cpp
+++ b/tests/processor_program_test.cpp
@@ -202,6 +202,29 @@
   EXPECT_EQ(program.child->exit_code(), 0);
 }
 
+// Guards against responses that are cut off, as the process ends at its own deadline while their calls are
+// open.
+TEST(ProcessorProgram, ACallWhoseResponseStillComesIsNotCutAtTheDeadline) {
+  const SettingsFile file(extproc_settings());
+  auto conf = two_hosts();
+  for (auto& settings : conf["settings"].as_object()["lanes"].as_array()) {
+    settings.as_object()["slo_ms"] = 100.0;
+    settings.as_object()["deadline_ms"] = 200.0;
+  }
+  Processor program(file, conf);
+  Proxy proxy(program.port);
+  auto call = proxy.send_request("lookup", "slow");
+  ASSERT_TRUE(Proxy::routed(call));
+  program.child->signal(SIGTERM);
+  program.child->log_until("the shutdown's deadline has passed");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));  // the process used to end after half of that
+  proxy.report(call, 200);
+  call.call->half_close();
+  proxy.wait_until([&] { return call.record->status.has_value(); });
+  EXPECT_EQ(call.record->status->code, Code::kOk);
+  EXPECT_EQ(program.child->exit_code(), 0);
+}
+
 TEST(ProcessorProgram, SighupReloadsTheMappingAndIgnoresAnInvalidFile) {
   const SettingsFile file(extproc_settings());
   Processor program(file);
