Known red: a value that its client receives is hedged when its host pauses

Cause: each second in which a host pauses the module may send another attempt, also if the client has received part of the value already, which is its final answer.

--- a/tests/streamed_values_test.cpp
+++ b/tests/streamed_values_test.cpp
@@ -688,6 +688,16 @@
   }
 }
 
+// Guards against a request that is sent on after its final answer: once its client receives a value, that is
+// the answer, even if its host pauses. What waits behind a value that is held may still be helped.
+TEST(StreamedValues, OneThatItsClientReceivesIsNotAskedForElsewhere) {
+  PausedValueFixture paused(query(1));
+  EXPECT_EQ(paused.client.line(), paused.header());
+  EXPECT_FALSE(paused.other_host().waiting(2'500));
+  paused.host().send(served(paused.value).substr(150'000));
+  EXPECT_EQ(paused.client.exactly(paused.value.size() + 2), paused.value + "\r\n");
+}
+
 // Guards against a value of two halves from hosts whose values differ, in bytes or in size: the first one
 // goes on. A client that has received nothing gets the other one whole.
 TEST(StreamedValues, TheRestOfAnotherValueIsNeverPassedOn) {
