--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -281,7 +281,7 @@
 }
 
 // Connections close after their next reply, so that a request and the close can't cross on the network; idle
-// ones are closed by their usual timeout.
+// ones are closed by `ShutdownSequence`.
 void Gateway::hand_over() {
   handed_over_ = true;
   const Config& config = config_.get();
